--- /dev/null
+++ b/crates/cli/src/cmd/sheet_apply.rs
@@ -0,0 +1,28 @@
+//! `sheet apply`: replaces the plan by a sheet.
+
+use std::fs;
+
+use reqwest::Method;
+
+use super::CommandInput;
+use super::print_accepted;
+use crate::failure::CommandFailure;
+
+/// Sends the sheet.
+///
+/// # Errors
+///
+/// Returns why it was not accepted.
+pub fn run(input: &CommandInput) -> Result<(), CommandFailure> {
+    let path = input.only("FILE")?;
+    let bytes = fs::read(path).map_err(|source| CommandFailure::File {
+        action: "read",
+        path: path.to_owned(),
+        source,
+    })?;
+    let options = input.change_options()?;
+    let client = input.client()?;
+    let accepted = client.change(Method::PUT, "/v1/sheet", bytes, options)?;
+    print_accepted(input, &accepted);
+    Ok(())
+}
--- /dev/null
+++ b/crates/coordination/src/consensus/lease.rs
@@ -0,0 +1,64 @@
+//! The leader's lease, worked out from answered heartbeat rounds.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+use super::membership::GroupMembership;
+use crate::clock::ClockTime;
+use crate::ident::NodeId;
+
+/// Rounds kept; an older round can't extend the lease any more.
+const ROUNDS_KEPT: usize = 64;
+
+/// Send times of heartbeat rounds, and the last round that each voter answered.
+#[derive(Debug, Clone, Default)]
+pub(super) struct RoundTable {
+    round: u64,
+    sent: VecDeque<(u64, ClockTime)>,
+    answered: BTreeMap<NodeId, u64>,
+}
+
+impl RoundTable {
+    /// Starts a round at `now` and returns its number.
+    pub(super) fn start(&mut self, now: ClockTime) -> u64 {
+        self.round += 1;
+        self.sent.push_back((self.round, now));
+        if self.sent.len() > ROUNDS_KEPT {
+            self.sent.pop_front();
+        }
+        self.round
+    }
+
+    /// Returns the current round.
+    pub(super) fn current(&self) -> u64 {
+        self.round
+    }
+
+    /// Records that `node` answered `round`.
+    pub(super) fn answer(&mut self, node: NodeId, round: u64) {
+        let answered = self.answered.entry(node).or_default();
+        *answered = round.max(*answered);
+    }
+
+    /// Returns when the latest round that a quorum answered was sent.
+    ///
+    /// `local` answers every round at once.
+    pub(super) fn confirmed_at(
+        &self,
+        local: NodeId,
+        membership: &GroupMembership,
+    ) -> Option<ClockTime> {
+        let mut rounds: Vec<u64> = membership
+            .voters
+            .keys()
+            .map(|node| match *node == local {
+                true => self.round,
+                false => self.answered.get(node).copied().unwrap_or_default(),
+            })
+            .collect();
+        rounds.sort_unstable_by(|left, right| right.cmp(left));
+        let round = *rounds.get(membership.quorum() - 1)?;
+        let (_, time) = self.sent.iter().find(|(number, _)| *number == round)?;
+        Some(*time)
+    }
+}
--- /dev/null
+++ b/crates/coordination/src/consensus/replication.rs
@@ -0,0 +1,267 @@
+//! Replication: appends, answers, snapshots and the commit index.
+
+use super::election::LogEnd;
+use super::log::LogEntry;
+use super::log::LogSnapshot;
+use super::message::ConsensusMessage;
+use super::message::EntryBody;
+use super::node::ConsensusNode;
+use super::node::ConsensusOutput;
+use super::role::RoleEvent;
+use crate::clock::ClockTime;
+use crate::ident::NodeId;
+
+/// Entries sent in one message.
+const APPEND_BATCH_ENTRIES: usize = 256;
+
+/// How far a peer holds the log, as the leader knows it.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct PeerProgress {
+    pub(super) next: u64,
+    pub(super) matched: u64,
+    /// Round in which a snapshot was sent last, so that one isn't sent twice a round.
+    snapshot_round: u64,
+}
+
+impl ConsensusNode {
+    pub(super) fn append_own(
+        &mut self,
+        now: ClockTime,
+        body: EntryBody,
+        out: &mut Vec<ConsensusOutput>,
+    ) -> u64 {
+        let entry = LogEntry {
+            index: self.log.last_index() + 1,
+            term: self.vote.term,
+            body,
+        };
+        let index = entry.index;
+        self.log.append(vec![entry.clone()]);
+        out.push(ConsensusOutput::AppendEntries(vec![entry]));
+        self.send_appends(now, out);
+        index
+    }
+
+    /// Starts a heartbeat round and sends every peer what it lacks.
+    pub(super) fn broadcast(&mut self, now: ClockTime, out: &mut Vec<ConsensusOutput>) {
+        self.rounds.start(now);
+        self.heartbeat_due = now + self.config.heartbeat_ms;
+        self.send_to_all(true, out);
+    }
+
+    fn send_appends(&mut self, now: ClockTime, out: &mut Vec<ConsensusOutput>) {
+        if self.rounds.current() == 0 {
+            self.rounds.start(now);
+        }
+        self.send_to_all(false, out);
+    }
+
+    fn send_to_all(&mut self, even_empty: bool, out: &mut Vec<ConsensusOutput>) {
+        let membership = self.membership().clone();
+        self.progress.retain(|node, _| membership.contains(*node));
+        for (node, _) in membership.members() {
+            if node != self.node {
+                self.send_append(node, even_empty, out);
+            }
+        }
+    }
+
+    fn send_append(&mut self, to: NodeId, even_empty: bool, out: &mut Vec<ConsensusOutput>) {
+        let fresh = PeerProgress {
+            next: self.log.last_index().max(1),
+            matched: 0,
+            snapshot_round: 0,
+        };
+        let round = self.rounds.current();
+        let progress = self.progress.entry(to).or_insert(fresh);
+        let prev_index = progress.next - 1;
+        let Some(prev_term) = self.log.term_at(prev_index) else {
+            if progress.snapshot_round < round {
+                progress.snapshot_round = round;
+                let message = ConsensusMessage::Snapshot {
+                    term: self.vote.term,
+                    snapshot: self.log.snapshot().clone(),
+                    round,
+                };
+                out.push(ConsensusOutput::Send { to, message });
+            }
+            return;
+        };
+        let entries = self.log.slice(progress.next, APPEND_BATCH_ENTRIES).to_vec();
+        if entries.is_empty() && !even_empty {
+            return;
+        }
+        progress.next += entries.len() as u64;
+        let message = ConsensusMessage::Append {
+            term: self.vote.term,
+            prev_index,
+            prev_term,
+            entries,
+            commit: self.commit,
+            round,
+        };
+        out.push(ConsensusOutput::Send { to, message });
+    }
+
+    /// Follows `from` as the leader of `term`; returns whether its message counts.
+    pub(super) fn follow(
+        &mut self,
+        now: ClockTime,
+        from: NodeId,
+        term: u64,
+        round: u64,
+        out: &mut Vec<ConsensusOutput>,
+    ) -> bool {
+        if term < self.vote.term {
+            out.push(ConsensusOutput::Send {
+                to: from,
+                message: ConsensusMessage::AppendReply {
+                    term: self.vote.term,
+                    matched: None,
+                    prev_index: 0,
+                    hint: 0,
+                    round,
+                },
+            });
+            return false;
+        }
+        if term > self.vote.term {
+            self.enter_term(now, term, out);
+        }
+        self.change_role(RoleEvent::LeaderSeen, out);
+        self.leader = Some(from);
+        self.promise_until = now + self.config.lease_ms;
+        self.reset_election(now);
+        true
+    }
+
+    pub(super) fn on_append(
+        &mut self,
+        from: NodeId,
+        prev: LogEnd,
+        entries: Vec<LogEntry>,
+        commit: u64,
+        round: u64,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
+        let (prev_term, prev_index) = prev;
+        let start = self.log.snapshot().index;
+        let known = prev_index < start || self.log.term_at(prev_index) == Some(prev_term);
+        if !known {
+            let hint = match prev_index > self.log.last_index() {
+                true => self.log.last_index() + 1,
+                false => self.commit + 1,
+            };
+            let reply = ConsensusMessage::AppendReply {
+                term: self.vote.term,
+                matched: None,
+                prev_index,
+                hint,
+                round,
+            };
+            out.push(ConsensusOutput::Send {
+                to: from,
+                message: reply,
+            });
+            return;
+        }
+        let last_sent = prev_index + entries.len() as u64;
+        let new: Vec<LogEntry> = entries
+            .into_iter()
+            .skip_while(|it| it.index <= start || self.log.term_at(it.index) == Some(it.term))
+            .collect();
+        if !new.is_empty() {
+            self.log.append(new.clone());
+            self.synced = self.log.last_index();
+            out.push(ConsensusOutput::AppendEntries(new));
+        }
+        let matched = last_sent.max(start);
+        out.push(ConsensusOutput::Send {
+            to: from,
+            message: ConsensusMessage::AppendReply {
+                term: self.vote.term,
+                matched: Some(matched),
+                prev_index,
+                hint: 0,
+                round,
+            },
+        });
+        self.commit = self.commit.max(commit.min(matched));
+        self.apply_committed(out);
+    }
+
+    pub(super) fn on_snapshot(
+        &mut self,
+        from: NodeId,
+        snapshot: LogSnapshot,
+        round: u64,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
+        let index = snapshot.index;
+        if index > self.commit {
+            self.log.install(snapshot.clone());
+            self.commit = index;
+            self.applied = index;
+            self.synced = self.log.last_index();
+            out.push(ConsensusOutput::SaveSnapshot(snapshot.clone()));
+            out.push(ConsensusOutput::Restore(snapshot));
+        }
+        out.push(ConsensusOutput::Send {
+            to: from,
+            message: ConsensusMessage::AppendReply {
+                term: self.vote.term,
+                matched: Some(index),
+                prev_index: index,
+                hint: 0,
+                round,
+            },
+        });
+    }
+
+    pub(super) fn on_append_reply(
+        &mut self,
+        now: ClockTime,
+        from: NodeId,
+        matched: Option<u64>,
+        prev_index: u64,
+        hint: u64,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
+        let Some(progress) = self.progress.get_mut(&from) else {
+            return;
+        };
+        match matched {
+            Some(index) => {
+                progress.matched = progress.matched.max(index);
+                progress.next = progress.next.max(progress.matched + 1);
+                self.advance_commit(now, out);
+            }
+            // An answer about entries already matched is a late one.
+            None if prev_index > progress.matched => {
+                progress.next = hint.max(progress.matched + 1);
+            }
+            None => return,
+        }
+        self.send_append(from, false, out);
+    }
+
+    pub(super) fn advance_commit(&mut self, now: ClockTime, out: &mut Vec<ConsensusOutput>) {
+        let membership = self.membership();
+        let mut held: Vec<u64> = membership
+            .voters
+            .keys()
+            .map(|node| self.matched(*node).unwrap_or_default())
+            .collect();
+        held.sort_unstable_by(|left, right| right.cmp(left));
+        let Some(index) = held.get(membership.quorum() - 1).copied() else {
+            return;
+        };
+        let own_term = self.log.term_at(index) == Some(self.vote.term);
+        if index <= self.commit || !own_term {
+            return;
+        }
+        self.commit = index;
+        self.apply_committed(out);
+        self.broadcast(now, out);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/config.rs
@@ -0,0 +1,491 @@
+//! Settings: flags first, then environment, then defaults. All look-ups stand here.
+
+use std::env;
+use std::fs;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use bytes::Bytes;
+use getopts::Matches;
+use getopts::Options;
+use thiserror::Error;
+
+use bergamotlane_policy::finding::Finding;
+
+/// Shortest key taken from a key file, in bytes.
+const MIN_KEY_BYTES: usize = 16;
+
+/// One setting: flag, environment variable, default and help.
+struct SettingSpec {
+    flag: &'static str,
+    variable: &'static str,
+    default: &'static str,
+    hint: &'static str,
+    help: &'static str,
+}
+
+const fn spec(
+    flag: &'static str,
+    variable: &'static str,
+    default: &'static str,
+    hint: &'static str,
+    help: &'static str,
+) -> SettingSpec {
+    SettingSpec {
+        flag,
+        variable,
+        default,
+        hint,
+        help,
+    }
+}
+
+const SETTINGS: [SettingSpec; 20] = [
+    spec(
+        "name",
+        "BERGAMOTLANE_NAME",
+        "",
+        "NAME",
+        "name of this instance, unique in the cluster",
+    ),
+    spec(
+        "zone",
+        "BERGAMOTLANE_ZONE",
+        "",
+        "ZONE",
+        "availability zone of this instance",
+    ),
+    spec(
+        "data",
+        "BERGAMOTLANE_DATA",
+        "",
+        "DIR",
+        "data folder; without one the instance never votes",
+    ),
+    spec(
+        "peers",
+        "BERGAMOTLANE_PEERS",
+        "",
+        "IP:PORT",
+        "address for other daemons, as they reach it",
+    ),
+    spec(
+        "seeds",
+        "BERGAMOTLANE_SEEDS",
+        "",
+        "IP:PORT,...",
+        "peer addresses of some daemons to start from",
+    ),
+    spec(
+        "callers",
+        "BERGAMOTLANE_CALLERS",
+        "",
+        "IP:PORT",
+        "address for callers and trainers",
+    ),
+    spec(
+        "targets",
+        "BERGAMOTLANE_TARGETS",
+        "",
+        "IP:PORT",
+        "address for targets",
+    ),
+    spec(
+        "operators",
+        "BERGAMOTLANE_OPERATORS",
+        "",
+        "IP:PORT",
+        "address for operators, metrics and health",
+    ),
+    spec(
+        "cluster-key-file",
+        "BERGAMOTLANE_CLUSTER_KEY_FILE",
+        "",
+        "FILE",
+        "key that all daemons share",
+    ),
+    spec(
+        "operator-key-file",
+        "BERGAMOTLANE_OPERATOR_KEY_FILE",
+        "",
+        "FILE",
+        "key that operators show",
+    ),
+    spec(
+        "founder",
+        "BERGAMOTLANE_FOUNDER",
+        "",
+        "NAME",
+        "instance that forms the group at the very first start",
+    ),
+    spec(
+        "voters",
+        "BERGAMOTLANE_VOTERS",
+        "3",
+        "N",
+        "voters that the group keeps: 1, 3 or 5",
+    ),
+    spec(
+        "voter-lost-ms",
+        "BERGAMOTLANE_VOTER_LOST_MS",
+        "180000",
+        "MS",
+        "silence after which a voter is replaced",
+    ),
+    spec(
+        "platform",
+        "BERGAMOTLANE_PLATFORM",
+        "",
+        "IP:PORT",
+        "platform that takes orders and usage reports",
+    ),
+    spec(
+        "window-ms",
+        "BERGAMOTLANE_WINDOW_MS",
+        "60000",
+        "MS",
+        "length of a usage window",
+    ),
+    spec(
+        "shrink-ms",
+        "BERGAMOTLANE_SHRINK_MS",
+        "60000",
+        "MS",
+        "how long less must do before targets are given up",
+    ),
+    spec(
+        "drain-ms",
+        "BERGAMOTLANE_DRAIN_MS",
+        "2000",
+        "MS",
+        "time for the balancer to see that readiness is off",
+    ),
+    spec(
+        "log-format",
+        "BERGAMOTLANE_LOG_FORMAT",
+        "text",
+        "FORMAT",
+        "text or json",
+    ),
+    spec(
+        "log-level",
+        "BERGAMOTLANE_LOG_LEVEL",
+        "info",
+        "LEVEL",
+        "error, warn, info or debug",
+    ),
+    spec(
+        "threads",
+        "BERGAMOTLANE_THREADS",
+        "2",
+        "N",
+        "threads for traffic",
+    ),
+];
+
+/// Form of log lines.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogFormat {
+    /// One line of text.
+    Text,
+    /// One JSON object.
+    Json,
+}
+
+/// Least severe log lines written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LogLevel {
+    /// Failures that need a person.
+    Error,
+    /// Failures that were handled.
+    Warn,
+    /// Changes of state.
+    Info,
+    /// Everything.
+    Debug,
+}
+
+/// Checked settings.
+#[derive(Debug, Clone)]
+pub struct DaemonConfig {
+    /// Name of this instance.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Data folder.
+    pub data: Option<PathBuf>,
+    /// Address for other daemons.
+    pub peers: SocketAddr,
+    /// Peer addresses to start from.
+    pub seeds: Vec<SocketAddr>,
+    /// Address for callers and trainers.
+    pub callers: SocketAddr,
+    /// Address for targets.
+    pub targets: SocketAddr,
+    /// Address for operators.
+    pub operators: SocketAddr,
+    /// Key that all daemons share.
+    pub cluster_key: SecretKey,
+    /// Key that operators show.
+    pub operator_key: SecretKey,
+    /// Instance that forms the group at the very first start.
+    pub founder: String,
+    /// Voters that the group keeps.
+    pub voters: usize,
+    /// Silence after which a voter is replaced, in milliseconds.
+    pub voter_lost_ms: u64,
+    /// Address of the platform.
+    pub platform: Option<SocketAddr>,
+    /// Length of a usage window, in milliseconds.
+    pub window_ms: u64,
+    /// How long less must do before targets are given up, in milliseconds.
+    pub shrink_ms: u64,
+    /// Time for the balancer to see that readiness is off, in milliseconds.
+    pub drain_ms: u64,
+    /// Form of log lines.
+    pub log_format: LogFormat,
+    /// Least severe log lines written.
+    pub log_level: LogLevel,
+    /// Threads for traffic.
+    pub threads: usize,
+}
+
+/// A key read from a file; never printed.
+#[derive(Clone)]
+pub struct SecretKey(Bytes);
+
+impl SecretKey {
+    /// Returns the key's bytes.
+    pub fn bytes(&self) -> &Bytes {
+        &self.0
+    }
+}
+
+impl std::fmt::Debug for SecretKey {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str("SecretKey(…)")
+    }
+}
+
+/// What the command line asks for.
+#[derive(Debug)]
+pub enum ConfigRequest {
+    /// Run the daemon.
+    Run(Box<DaemonConfig>),
+    /// Check the settings and stop.
+    Check,
+    /// Print a text and stop.
+    Print(String),
+}
+
+/// The settings can't be used.
+#[derive(Debug, Error)]
+#[error("{} bad settings", findings.len())]
+pub struct ConfigError {
+    /// Every fault found.
+    pub findings: Vec<Finding>,
+}
+
+/// Reads and checks all settings.
+///
+/// # Errors
+///
+/// Returns every finding, sorted by place.
+pub fn read_config(arguments: &[String]) -> Result<ConfigRequest, ConfigError> {
+    let options = build_options();
+    let matches = options.parse(arguments).map_err(|error| ConfigError {
+        findings: vec![Finding::whole(error.to_string())],
+    })?;
+    if matches.opt_present("help") {
+        let brief = "bergamotlaned: daemon of the bergamotlane rollout service\n\n\
+            Usage: bergamotlaned [options]\n\n\
+            Each option may come from the environment: --name from BERGAMOTLANE_NAME, and so on.";
+        return Ok(ConfigRequest::Print(options.usage(brief)));
+    }
+    if matches.opt_present("version") {
+        let text = format!("bergamotlaned {}", env!("CARGO_PKG_VERSION"));
+        return Ok(ConfigRequest::Print(text));
+    }
+    let mut reader = SettingReader {
+        matches: &matches,
+        findings: Vec::new(),
+    };
+    let config = reader.read();
+    for free in &matches.free {
+        let finding = Finding::field(free.as_str(), "unexpected argument");
+        reader.findings.push(finding);
+    }
+    let mut findings = reader.findings;
+    findings.sort();
+    match config {
+        Some(_) if findings.is_empty() && matches.opt_present("check") => Ok(ConfigRequest::Check),
+        Some(config) if findings.is_empty() => Ok(ConfigRequest::Run(Box::new(config))),
+        _ => Err(ConfigError { findings }),
+    }
+}
+
+fn build_options() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options.optflag("", "check", "check the settings and stop");
+    for setting in &SETTINGS {
+        let help = match setting.default {
+            "" => setting.help.to_owned(),
+            default => format!("{} [{default}]", setting.help),
+        };
+        options.optopt("", setting.flag, &help, setting.hint);
+    }
+    options
+}
+
+struct SettingReader<'a> {
+    matches: &'a Matches,
+    findings: Vec<Finding>,
+}
+
+impl SettingReader<'_> {
+    fn text(&self, flag: &str) -> String {
+        let setting = SETTINGS.iter().find(|it| it.flag == flag);
+        let variable = setting.and_then(|it| env::var(it.variable).ok());
+        let default = setting.map(|it| it.default.to_owned());
+        self.matches
+            .opt_str(flag)
+            .or(variable)
+            .or(default)
+            .unwrap_or_default()
+    }
+
+    fn find(&mut self, flag: &str, message: impl Into<String>) {
+        let finding = Finding::field(format!("--{flag}"), message);
+        self.findings.push(finding);
+    }
+
+    fn required(&mut self, flag: &str) -> String {
+        let text = self.text(flag);
+        if text.is_empty() {
+            self.find(flag, "is required");
+        }
+        text
+    }
+
+    fn address(&mut self, flag: &str) -> Option<SocketAddr> {
+        let text = self.required(flag);
+        if text.is_empty() {
+            return None;
+        }
+        self.parse_address(flag, &text)
+    }
+
+    fn parse_address(&mut self, flag: &str, text: &str) -> Option<SocketAddr> {
+        let address = text.parse().ok();
+        if address.is_none() {
+            self.find(flag, format!("{text:?} is not an IP address and port"));
+        }
+        address
+    }
+
+    fn number(&mut self, flag: &str, low: u64, high: u64) -> u64 {
+        let number = self.text(flag).parse().ok();
+        match number.filter(|it| (low..=high).contains(it)) {
+            Some(number) => number,
+            None => {
+                self.find(flag, format!("must be a number from {low} to {high}"));
+                low
+            }
+        }
+    }
+
+    fn key(&mut self, flag: &str) -> Option<SecretKey> {
+        let path = self.required(flag);
+        if path.is_empty() {
+            return None;
+        }
+        match fs::read(&path) {
+            Ok(key) => {
+                let key = Bytes::copy_from_slice(key.trim_ascii());
+                if key.len() < MIN_KEY_BYTES {
+                    let message = format!("{path} must hold at least {MIN_KEY_BYTES} bytes");
+                    self.find(flag, message);
+                }
+                Some(SecretKey(key))
+            }
+            Err(error) => {
+                self.find(flag, format!("could not read {path}: {error}"));
+                None
+            }
+        }
+    }
+
+    fn word<T: Copy>(&mut self, flag: &str, words: &[(&str, T)]) -> Option<T> {
+        let text = self.text(flag);
+        let found = words.iter().find(|(word, _)| *word == text);
+        if found.is_none() {
+            let known: Vec<&str> = words.iter().map(|(word, _)| *word).collect();
+            self.find(flag, format!("must be one of {}", known.join(", ")));
+        }
+        found.map(|(_, value)| *value)
+    }
+
+    fn read(&mut self) -> Option<DaemonConfig> {
+        let name = self.required("name");
+        let zone = self.required("zone");
+        let data = self.text("data");
+        let peers = self.address("peers");
+        let seeds = self.text("seeds");
+        let seeds = seeds.split(',').filter(|it| !it.is_empty());
+        let seeds = seeds
+            .filter_map(|it| self.parse_address("seeds", it.trim()))
+            .collect();
+        let callers = self.address("callers");
+        let targets = self.address("targets");
+        let operators = self.address("operators");
+        let cluster_key = self.key("cluster-key-file");
+        let operator_key = self.key("operator-key-file");
+        let platform = self.text("platform");
+        let platform = match platform.is_empty() {
+            true => None,
+            false => self.parse_address("platform", &platform),
+        };
+        let voters = self.number("voters", 1, 5);
+        if voters.is_multiple_of(2) {
+            self.find("voters", "must be 1, 3 or 5");
+        }
+        let formats = [("text", LogFormat::Text), ("json", LogFormat::Json)];
+        let levels = [
+            ("error", LogLevel::Error),
+            ("warn", LogLevel::Warn),
+            ("info", LogLevel::Info),
+            ("debug", LogLevel::Debug),
+        ];
+        let log_format = self.word("log-format", &formats);
+        let log_level = self.word("log-level", &levels);
+        let voter_lost_ms = self.number("voter-lost-ms", 2_000, 86_400_000);
+        let window_ms = self.number("window-ms", 500, 86_400_000);
+        let shrink_ms = self.number("shrink-ms", 0, 86_400_000);
+        let drain_ms = self.number("drain-ms", 0, 600_000);
+        let threads = self.number("threads", 1, 64);
+        Some(DaemonConfig {
+            name,
+            zone,
+            data: (!data.is_empty()).then(|| PathBuf::from(data)),
+            peers: peers?,
+            seeds,
+            callers: callers?,
+            targets: targets?,
+            operators: operators?,
+            cluster_key: cluster_key?,
+            operator_key: operator_key?,
+            founder: self.text("founder"),
+            voters: voters as usize,
+            voter_lost_ms,
+            platform,
+            window_ms,
+            shrink_ms,
+            drain_ms,
+            log_format: log_format?,
+            log_level: log_level?,
+            threads: threads as usize,
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/outputs.rs
@@ -0,0 +1,298 @@
+//! Commands into the log, and what comes out of it.
+
+use bytes::Bytes;
+use tokio::sync::oneshot;
+
+use super::answer;
+use super::thread::ControlCore;
+use super::thread::ForwardedCommand;
+use super::thread::PendingCommand;
+use super::thread::ReplyTo;
+use crate::clock::now;
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_coordination::consensus::ConsensusMessage;
+use bergamotlane_coordination::consensus::ConsensusOutput;
+use bergamotlane_coordination::consensus::EntryBody;
+use bergamotlane_coordination::consensus::LogEntry;
+use bergamotlane_coordination::consensus::NodeRole;
+use bergamotlane_coordination::ident::NodeId;
+use bergamotlane_coordination::ident::RunId;
+use bergamotlane_policy::control::ControlCommand;
+use bergamotlane_policy::control::ControlOutcome;
+use bergamotlane_policy::control::ControlState;
+use bergamotlane_wire::ConsensusMessageWire;
+use bergamotlane_wire::ControlCommandWire;
+use bergamotlane_wire::ControlOutcomeWire;
+use bergamotlane_wire::ControlStateWire;
+use bergamotlane_wire::codec;
+use bergamotlane_wire::codec::WireError;
+use bergamotlane_wire::peer::PeerFrame;
+use bergamotlane_wire::peer::SubmitFailure;
+
+/// Time after which a forwarded command counts as unanswered, in milliseconds.
+const SUBMIT_LIMIT_MS: u64 = 3_000;
+
+/// Returns the control state that snapshot data stands for.
+pub(super) fn read_state(data: &[u8]) -> Result<ControlState, WireError> {
+    if data.is_empty() {
+        return Ok(ControlState::default());
+    }
+    let wire: ControlStateWire = codec::decode(data)?;
+    ControlState::try_from(wire)
+}
+
+/// Returns the control state as snapshot data.
+pub(super) fn write_state(state: &ControlState) -> Bytes {
+    codec::encode(&ControlStateWire::from(state))
+}
+
+impl ControlCore {
+    /// Takes the state of the snapshot on disk, if there is one.
+    pub(super) fn restore_from_disk(&mut self) {
+        let Some(voter) = &self.voter else {
+            return;
+        };
+        let snapshot = voter.node.log().snapshot();
+        let index = snapshot.index;
+        match read_state(&snapshot.data) {
+            Ok(state) => {
+                self.state = state;
+                self.state.skip(index);
+            }
+            Err(error) => spdlog::error!("consensus: Could not read the snapshot: {error}."),
+        }
+        self.follow.membership = voter.node.membership().clone();
+    }
+
+    /// Makes the outputs so far durable and carries them out.
+    pub(super) fn carry_out(&mut self, time: ClockTime) {
+        let Some(voter) = &mut self.voter else {
+            return;
+        };
+        if self.outputs.is_empty() {
+            return;
+        }
+        let outputs = std::mem::take(&mut self.outputs);
+        let sync = self.shared.metrics.syncs.start_timer();
+        let settled = voter.settle(time, outputs);
+        sync.observe_duration();
+        match settled {
+            Ok(ready) => {
+                for output in ready {
+                    self.act(output);
+                }
+            }
+            Err(error) => self.lose_disk(&error),
+        }
+        self.take_snapshot();
+    }
+
+    fn act(&mut self, output: ConsensusOutput) {
+        match output {
+            ConsensusOutput::Send { to, message } => self.send_consensus(to, &message),
+            ConsensusOutput::Apply(entry) => self.apply(entry),
+            ConsensusOutput::Restore(snapshot) => {
+                if snapshot.index > self.state.index {
+                    self.take_state(snapshot.index, &snapshot.data);
+                }
+                self.follow.membership = snapshot.membership;
+                self.dial_members();
+            }
+            ConsensusOutput::RoleChanged { role, term } => self.on_role(role, term),
+            ConsensusOutput::SaveVote(_)
+            | ConsensusOutput::AppendEntries(_)
+            | ConsensusOutput::SaveSnapshot(_) => {}
+        }
+    }
+
+    /// Replaces the control state by snapshot data.
+    pub(super) fn take_state(&mut self, index: u64, data: &[u8]) {
+        match read_state(data) {
+            Ok(state) => {
+                self.state = state;
+                self.state.skip(index);
+                self.publish.changed = true;
+            }
+            Err(error) => spdlog::error!("consensus: Could not read a snapshot: {error}."),
+        }
+    }
+
+    fn send_consensus(&mut self, to: NodeId, message: &ConsensusMessage) {
+        if let Some(run) = self.run_of(to) {
+            let wire = ConsensusMessageWire::from(message);
+            self.send(run, PeerFrame::Consensus(wire));
+        }
+    }
+
+    pub(super) fn on_consensus(&mut self, from: RunId, message: ConsensusMessageWire) {
+        let node = self.peers.get(&from).and_then(|hello| hello.node);
+        let (Some(node), Some(voter)) = (node, &mut self.voter) else {
+            return;
+        };
+        match ConsensusMessage::try_from(message) {
+            Ok(message) => {
+                let node = NodeId(node);
+                voter.node.receive(now(), node, message, &mut self.outputs);
+            }
+            Err(error) => spdlog::warn!("consensus: Dropped a bad message: {error}."),
+        }
+    }
+
+    fn on_role(&mut self, role: NodeRole, term: u64) {
+        spdlog::info!("consensus: Is {role:?} in term {term}.");
+        match role {
+            NodeRole::Leader => self.begin_lead(),
+            _ => self.end_lead(),
+        }
+    }
+
+    /// Applies a committed entry, unless it came another way already.
+    pub(super) fn apply(&mut self, entry: LogEntry) {
+        if entry.index != self.state.index + 1 {
+            return;
+        }
+        let index = entry.index;
+        let mut outcome = None;
+        let mut is_change = false;
+        match entry.body {
+            EntryBody::Noop => self.state.skip(index),
+            EntryBody::Membership(membership) => {
+                self.state.skip(index);
+                self.follow.membership = membership;
+                self.dial_members();
+                self.roster_changed();
+            }
+            EntryBody::Command(bytes) => match read_command(&bytes) {
+                Ok(command) => {
+                    is_change = matches!(command, ControlCommand::Change { .. });
+                    outcome = Some(self.state.apply(index, command));
+                }
+                Err(error) => {
+                    spdlog::error!("consensus: Skipped entry {index}: {error}.");
+                    self.state.skip(index);
+                }
+            },
+        }
+        self.publish.changed |= is_change;
+        self.settle_pending(index, entry.term, outcome);
+        if is_change && self.lead.is_some() {
+            self.announce_advance(index);
+        }
+    }
+
+    fn settle_pending(&mut self, index: u64, term: u64, outcome: Option<ControlOutcome>) {
+        let Some(pending) = self.pending.remove(&index) else {
+            return;
+        };
+        // Another leader's entry at this index means that the own one is lost for good.
+        let result = match outcome {
+            Some(outcome) if pending.term == term => Ok(outcome),
+            _ => Err(SubmitFailure::NotTaken),
+        };
+        self.reply(pending.reply, result);
+    }
+
+    pub(super) fn reply(&mut self, to: ReplyTo, result: Result<ControlOutcome, SubmitFailure>) {
+        match to {
+            ReplyTo::Local(reply) => answer(reply, result),
+            ReplyTo::Peer(run, nonce) => {
+                let result = result.map(|outcome| ControlOutcomeWire::from(&outcome));
+                self.send(run, PeerFrame::Submitted { nonce, result });
+            }
+            ReplyTo::Nobody => {}
+        }
+    }
+
+    /// Proposes a command as the leader.
+    pub(super) fn propose(&mut self, command: &ControlCommand, reply: ReplyTo) {
+        let bytes = codec::encode(&ControlCommandWire::from(command));
+        let Some(voter) = &mut self.voter else {
+            self.reply(reply, Err(SubmitFailure::NotTaken));
+            return;
+        };
+        match voter.node.propose(now(), bytes, &mut self.outputs) {
+            Ok(index) => {
+                let term = voter.node.term();
+                let pending = PendingCommand { term, reply };
+                if let Some(old) = self.pending.insert(index, pending) {
+                    self.reply(old.reply, Err(SubmitFailure::NotTaken));
+                }
+            }
+            Err(_) => self.reply(reply, Err(SubmitFailure::NotTaken)),
+        }
+    }
+
+    /// Carries out a command, here or at the leader.
+    pub(super) fn submit(
+        &mut self,
+        command: ControlCommand,
+        reply: oneshot::Sender<Result<ControlOutcome, SubmitFailure>>,
+    ) {
+        if self.leads() {
+            self.propose(&command, ReplyTo::Local(reply));
+            return;
+        }
+        let nonce = self.nonce();
+        let command = ControlCommandWire::from(&command);
+        let leader = self.follow.leader;
+        let sent = leader.filter(|run| self.send(*run, PeerFrame::Submit { nonce, command }));
+        let Some(to) = sent else {
+            answer(reply, Err(SubmitFailure::NotTaken));
+            return;
+        };
+        let expires = now() + SUBMIT_LIMIT_MS;
+        self.forwarded
+            .insert(nonce, ForwardedCommand { to, expires, reply });
+    }
+
+    pub(super) fn on_submit(&mut self, from: RunId, nonce: u64, command: ControlCommandWire) {
+        let reply = ReplyTo::Peer(from, nonce);
+        match ControlCommand::try_from(command) {
+            Ok(command) if self.leads() => self.propose(&command, reply),
+            _ => self.reply(reply, Err(SubmitFailure::NotTaken)),
+        }
+    }
+
+    pub(super) fn on_submitted(
+        &mut self,
+        nonce: u64,
+        result: Result<ControlOutcomeWire, SubmitFailure>,
+    ) {
+        let Some(forwarded) = self.forwarded.remove(&nonce) else {
+            return;
+        };
+        let result = result
+            .and_then(|wire| ControlOutcome::try_from(wire).map_err(|_| SubmitFailure::Unknown));
+        answer(forwarded.reply, result);
+    }
+
+    fn take_snapshot(&mut self) {
+        let Some(voter) = &mut self.voter else {
+            return;
+        };
+        if !voter.wants_snapshot() {
+            return;
+        }
+        let index = self.state.index;
+        let data = write_state(&self.state);
+        let mut outputs = Vec::new();
+        voter.node.compact(index, data, &mut outputs);
+        if let Err(error) = voter.settle(now(), outputs) {
+            self.lose_disk(&error);
+        }
+    }
+
+    /// Keeps connections to all members.
+    pub(super) fn dial_members(&self) {
+        for (_, record) in self.follow.membership.members() {
+            if let Ok(address) = record.address.parse() {
+                self.dial(address);
+            }
+        }
+    }
+}
+
+fn read_command(bytes: &[u8]) -> Result<ControlCommand, WireError> {
+    let wire: ControlCommandWire = codec::decode(bytes)?;
+    ControlCommand::try_from(wire)
+}
--- /dev/null
+++ b/crates/daemon/src/control/publish.rs
@@ -0,0 +1,319 @@
+//! The view that traffic reads, and what this instance asks of the leader for it.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use slotmap::SecondaryMap;
+
+use super::thread::ControlCore;
+use crate::gate::ServiceGate;
+use crate::shared::CustomerCell;
+use crate::shared::GateMap;
+use crate::shared::ServicePool;
+use crate::shared::TrafficView;
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_policy::arrival::ArrivalRate;
+use bergamotlane_policy::control::PriceClass;
+use bergamotlane_policy::route::RouteTable;
+use bergamotlane_policy::targets::ChoiceTarget;
+use bergamotlane_policy::targets::TargetCell;
+use bergamotlane_policy::targets::TargetChooser;
+use bergamotlane_policy::targets::TargetLife;
+use bergamotlane_policy::targets::TargetName;
+use bergamotlane_wire::TargetNameWire;
+use bergamotlane_wire::peer::DemandReport;
+use bergamotlane_wire::peer::ShareAnswer;
+use bergamotlane_wire::peer::ShareReport;
+use bergamotlane_wire::peer::SlotAnswer;
+use bergamotlane_wire::peer::SlotAsk;
+
+/// Slots kept ready at a warm target that gets requests.
+const READY_SLOTS: u32 = 2;
+
+/// Requests in progress asked for beside those that are there.
+const SHARE_HEADROOM: u32 = 8;
+
+/// Requests a second asked for beside those that came.
+const RATE_HEADROOM: u32 = 20;
+
+/// Counters of one target, for one of its process runs.
+#[derive(Debug, Clone)]
+struct KnownCell {
+    boot: u64,
+    identity: u64,
+    cell: Arc<TargetCell>,
+}
+
+/// What the published view is made from, beside the control state.
+#[derive(Debug, Default)]
+pub(super) struct PublishState {
+    /// The configuration or the set of instances changed.
+    pub(super) changed: bool,
+    /// Targets changed.
+    pub(super) targets_changed: bool,
+    cells: BTreeMap<TargetName, KnownCell>,
+    gates: GateMap,
+    customers: HashMap<String, Arc<CustomerCell>>,
+    /// Arrivals by service.
+    arrivals: HashMap<String, ArrivalRate>,
+    /// Arrivals by customer.
+    customer_arrivals: HashMap<String, ArrivalRate>,
+    next_identity: u64,
+    started: bool,
+}
+
+impl PublishState {
+    /// Returns the shares of customers.
+    pub(super) fn customer_cells(&self) -> impl Iterator<Item = (&str, &Arc<CustomerCell>)> {
+        self.customers.iter().map(|(id, cell)| (id.as_str(), cell))
+    }
+
+    /// Returns the counters of a target.
+    pub(super) fn cell(&self, target: &TargetName) -> Option<&Arc<TargetCell>> {
+        self.cells.get(target).map(|known| &known.cell)
+    }
+}
+
+impl ControlCore {
+    pub(super) fn publish_tick(&mut self, time: ClockTime) {
+        let until = self.follow.freshness.fresh_until().unwrap_or_default();
+        self.shared.set_fresh_until(until);
+        let metrics = &self.shared.metrics;
+        metrics
+            .fresh
+            .set(i64::from(self.follow.freshness.is_fresh(time)));
+        metrics.applied.set(self.state.index as i64);
+        metrics.number.set(self.state.config.number as i64);
+        metrics.leads.set(i64::from(self.lead.is_some()));
+        if let Some(voter) = &self.voter {
+            metrics.term.set(voter.node.term() as i64);
+        }
+        let first = !std::mem::replace(&mut self.publish.started, true);
+        if !first && !self.publish.changed && !self.publish.targets_changed {
+            return;
+        }
+        self.publish.changed = false;
+        self.publish.targets_changed = false;
+        let view = self.build_traffic_view();
+        self.shared.publish(view);
+        for gate in self.publish.gates.values() {
+            gate.wake();
+        }
+    }
+
+    fn build_traffic_view(&mut self) -> TrafficView {
+        let routes = RouteTable::build(&self.state.config);
+        let mut unknown = false;
+        let mut choosers: HashMap<String, TargetChooser> = HashMap::new();
+        for known in self.follow.targets.values() {
+            let announcement = &known.announcement;
+            let service = &announcement.target.service;
+            let Some((_, route)) = routes.service(service) else {
+                continue;
+            };
+            let serves = matches!(known.life, TargetLife::Cold | TargetLife::Warm);
+            if !serves || !route.zones.contains(&announcement.zone) {
+                continue;
+            }
+            let entry = self.publish.cells.get(&announcement.target);
+            let cell = match entry.filter(|it| it.boot == announcement.boot) {
+                Some(cell) => cell.clone(),
+                None => {
+                    unknown = true;
+                    self.publish.next_identity += 1;
+                    let cell = KnownCell {
+                        boot: announcement.boot,
+                        identity: self.publish.next_identity,
+                        cell: Arc::default(),
+                    };
+                    self.publish
+                        .cells
+                        .insert(announcement.target.clone(), cell.clone());
+                    cell
+                }
+            };
+            let warm = known.life == TargetLife::Warm;
+            let target = ChoiceTarget {
+                identity: cell.identity,
+                address: announcement.address.as_str().into(),
+                local: announcement.zone == self.config.zone,
+                reclaimable: announcement.class == PriceClass::Reclaimable,
+                version: announcement.version,
+                others_load: announcement.load.saturating_sub(cell.cell.in_flight()),
+                capacity: if warm {
+                    route.target_slots
+                } else {
+                    route.cold_slots
+                },
+                cell: cell.cell,
+            };
+            choosers.entry(service.clone()).or_default().insert(target);
+        }
+        if unknown {
+            self.follow.hurry();
+        }
+        let targets = &self.follow.targets;
+        self.publish.cells.retain(|it, _| targets.contains_key(it));
+        let mut pools = SecondaryMap::new();
+        for service in routes.services() {
+            let gate = self.gate(&service.id);
+            let chooser = choosers.remove(&service.id).unwrap_or_default();
+            if let Some((key, _)) = routes.service(&service.id) {
+                pools.insert(key, ServicePool { chooser, gate });
+            }
+        }
+        let mut customers = SecondaryMap::new();
+        let count = self.follow.instances.len().max(1) as u32;
+        for (key, customer) in routes.customers() {
+            let cell = self
+                .publish
+                .customers
+                .entry(customer.id.clone())
+                .or_insert_with(|| {
+                    let concurrency = (customer.row.concurrency / count).max(1);
+                    let rate = (customer.row.rate_per_s / count).max(1);
+                    Arc::new(CustomerCell::new(concurrency, rate))
+                });
+            customers.insert(key, Arc::clone(cell));
+        }
+        TrafficView {
+            routes,
+            pools,
+            customers,
+        }
+    }
+
+    fn gate(&mut self, service: &str) -> Arc<ServiceGate> {
+        if let Some(gate) = self.publish.gates.get(service) {
+            return Arc::clone(gate);
+        }
+        let _runtime = self.runtime.enter();
+        let gate = ServiceGate::start(service, &self.shared, self.handle.nudge());
+        self.publish
+            .gates
+            .insert(service.to_owned(), Arc::clone(&gate));
+        gate
+    }
+
+    /// Returns the slots that this instance wants; lowers its own grants first where it
+    /// wants less.
+    pub(super) fn slot_wishes(&mut self, time: ClockTime) -> Vec<SlotAsk> {
+        let mut rates: HashMap<&str, u32> = HashMap::new();
+        for (service, gate) in &self.publish.gates {
+            let arrivals = self.publish.arrivals.entry(service.clone()).or_default();
+            rates.insert(service, arrivals.add(time, gate.take_recent()));
+        }
+        let mut counts: HashMap<&str, u32> = HashMap::new();
+        for name in self.publish.cells.keys() {
+            *counts.entry(&name.service).or_default() += 1;
+        }
+        let mut wishes = Vec::new();
+        for (name, known) in &self.publish.cells {
+            let Some(target) = self.follow.targets.get(name) else {
+                continue;
+            };
+            let gate = self.publish.gates.get(&name.service);
+            let waiting = gate.map_or(0, |gate| gate.waiting());
+            let targets = counts.get(name.service.as_str()).copied().unwrap_or(1);
+            let rate = rates.get(name.service.as_str());
+            let in_use = rate.copied().unwrap_or_default() > 0;
+            let in_flight = known.cell.in_flight();
+            let warm = target.life == TargetLife::Warm;
+            let ready = match warm && in_use {
+                true => READY_SLOTS.max(in_flight / 2),
+                false => 0,
+            };
+            let want = in_flight + waiting.div_ceil(targets).max(ready);
+            let held = known.cell.lower(want);
+            let granted = known.cell.granted(time);
+            if want > 0 || held > 0 || granted > 0 {
+                wishes.push(SlotAsk {
+                    target: TargetNameWire::from(name),
+                    held,
+                    want,
+                });
+            }
+        }
+        wishes
+    }
+
+    pub(super) fn take_slots(&mut self, until: ClockTime, slots: Vec<SlotAnswer>) {
+        let mut services = Vec::new();
+        for answer in slots {
+            let Ok(name) = TargetName::try_from(answer.target) else {
+                continue;
+            };
+            let target = self.follow.targets.get(&name);
+            let (Some(known), Some(target)) = (self.publish.cells.get(&name), target) else {
+                continue;
+            };
+            let lasting = target.life == TargetLife::Warm;
+            known.cell.grant(answer.count, until, lasting);
+            services.push(name.service);
+        }
+        for service in services {
+            if let Some(gate) = self.publish.gates.get(&service) {
+                gate.wake();
+            }
+        }
+    }
+
+    pub(super) fn demand_reports(&self) -> Vec<DemandReport> {
+        let mut reports = Vec::new();
+        for (service, gate) in &self.publish.gates {
+            let running: u32 = self
+                .publish
+                .cells
+                .iter()
+                .filter(|(name, _)| name.service == *service)
+                .map(|(_, known)| known.cell.in_flight())
+                .sum();
+            let rollouts = gate.rollouts();
+            let lookups = (running + gate.waiting()).saturating_sub(rollouts);
+            if lookups + rollouts > 0 {
+                reports.push(DemandReport {
+                    service: service.clone(),
+                    lookups,
+                    rollouts,
+                });
+            }
+        }
+        reports
+    }
+
+    pub(super) fn share_reports(&mut self, time: ClockTime) -> Vec<ShareReport> {
+        let mut reports = Vec::new();
+        let count = self.follow.instances.len().max(1) as u32;
+        for (customer, cell) in &self.publish.customers {
+            let Some(row) = self.state.config.plan.customers.get(customer) else {
+                continue;
+            };
+            let arrivals = self
+                .publish
+                .customer_arrivals
+                .entry(customer.clone())
+                .or_default();
+            let rate_per_s = arrivals.add(time, cell.take_arrived());
+            let busy = cell.in_flight();
+            if rate_per_s + busy > 0 {
+                reports.push(ShareReport {
+                    customer: customer.clone(),
+                    // A burst may start before its rate is known, so an even part is
+                    // the least.
+                    concurrency: (busy * 2 + SHARE_HEADROOM).max(row.concurrency / count),
+                    rate_per_s: (rate_per_s * 2 + RATE_HEADROOM).max(row.rate_per_s / count),
+                });
+            }
+        }
+        reports
+    }
+
+    pub(super) fn take_shares(&mut self, shares: Vec<ShareAnswer>) {
+        for share in shares {
+            if let Some(cell) = self.publish.customers.get(&share.customer) {
+                cell.set_share(share.concurrency, share.rate_per_s);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,54 @@
+//! Daemon of the bergamotlane rollout service.
+
+mod clock;
+mod config;
+mod control;
+mod daemon;
+mod engine;
+mod gate;
+mod logging;
+mod metrics;
+mod peers;
+mod platform;
+mod rollout;
+mod samples;
+mod serve;
+mod shared;
+mod storage;
+
+use std::env;
+use std::process::ExitCode;
+
+use config::ConfigRequest;
+
+/// Exit status for bad settings.
+const BAD_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let config = match config::read_config(&arguments) {
+        Ok(ConfigRequest::Run(config)) => *config,
+        Ok(ConfigRequest::Check) => {
+            println!("settings are valid");
+            return ExitCode::SUCCESS;
+        }
+        Ok(ConfigRequest::Print(text)) => {
+            println!("{text}");
+            return ExitCode::SUCCESS;
+        }
+        Err(error) => {
+            for finding in &error.findings {
+                eprintln!("bergamotlaned: {finding}");
+            }
+            eprintln!("bergamotlaned: {error}");
+            return ExitCode::from(BAD_SETTINGS);
+        }
+    };
+    match daemon::run_daemon(config) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("bergamotlaned: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peers/mod.rs
@@ -0,0 +1,9 @@
+//! Connections between daemons: handshake, links, and the hub that keeps them.
+
+mod handshake;
+mod hub;
+mod link;
+
+pub use handshake::LocalHello;
+pub use hub::PeerEvent;
+pub use hub::PeerHub;
--- /dev/null
+++ b/crates/daemon/src/serve/generate.rs
@@ -0,0 +1,324 @@
+//! Generations in the chat/completions shape, as a stream or whole.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::stream;
+use salvo::Request;
+use salvo::Response;
+use salvo::http::ResBody;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::watch;
+
+use super::Refusal;
+use super::ServeContext;
+use super::answer::set_header;
+use super::callers::AdmittedCall;
+use super::callers::admit;
+use super::callers::is_still_allowed;
+use super::keys::strip_head;
+use super::keys::strip_json;
+use super::read_json;
+use super::write_json;
+use crate::control::ControlInput;
+use crate::engine::Generation;
+use crate::engine::GenerationBody;
+use crate::engine::GenerationFailure;
+use crate::engine::GenerationStep;
+use crate::engine::TokenEvent;
+use crate::engine::extend_spans;
+use crate::gate::GateRequest;
+use crate::rollout::customer_number;
+use crate::shared::BusyGuard;
+use bergamotlane_policy::control::UsageFigure;
+use bergamotlane_policy::control::UsageKey;
+use bergamotlane_policy::fair::RequestRank;
+use bergamotlane_policy::plan::ServiceKind;
+use bergamotlane_policy::route::RouteRefusal;
+use bergamotlane_policy::targets::ChoiceRequest;
+use bergamotlane_wire::http::SpanBody;
+use bergamotlane_wire::http::VERSION_HEADER;
+
+/// Tokens of an answer if the caller names no number.
+const DEFAULT_TOKENS: u32 = 128;
+
+/// Most tokens of an answer.
+const MAX_TOKENS: u32 = 32_768;
+
+#[derive(Debug, Deserialize)]
+struct ChatBody {
+    model: String,
+    messages: Value,
+    #[serde(default)]
+    stream: bool,
+    max_tokens: Option<u32>,
+    seed: Option<u64>,
+}
+
+/// Handles a generation; returns the service for the metrics, and the result.
+pub async fn call(
+    context: &Arc<ServeContext>,
+    req: &mut Request,
+    res: &mut Response,
+    busy: BusyGuard,
+) -> (String, Result<(), Refusal>) {
+    let mut service = String::new();
+    let result = run(context, req, res, busy, &mut service).await;
+    (service, result)
+}
+
+async fn run(
+    context: &Arc<ServeContext>,
+    req: &mut Request,
+    res: &mut Response,
+    busy: BusyGuard,
+    service: &mut String,
+) -> Result<(), Refusal> {
+    if req.method() != "POST" {
+        return Err(Refusal::bad_request("generations are asked for by POST"));
+    }
+    let mut value: Value = read_json(req).await?;
+    let body_key = strip_json(&mut value);
+    let head = strip_head(req.headers(), req.uri().query());
+    let chat: ChatBody = serde_json::from_value(value)
+        .map_err(|error| Refusal::bad_request(format!("not a chat request: {error}")))?;
+    service.clone_from(&chat.model);
+    let call = admit(context, &chat.model, head.key.or(body_key))?;
+    let route = call.service().ok_or(RouteRefusal::NoService)?;
+    if route.kind != ServiceKind::Engine {
+        return Err(Refusal::bad_request("this service doesn't generate"));
+    }
+    let generation = prepare(context, &chat, &call)?;
+    let mut caller = CallerStream {
+        context: Arc::clone(context),
+        changes: context.shared.subscribe(),
+        id: format!("gen-{:016x}", rand::random::<u64>()),
+        service: chat.model,
+        generation,
+        call,
+        tokens: 0,
+        spans: Vec::new(),
+        _busy: busy,
+    };
+    if chat.stream {
+        // The first step decides whether anything ran, while it can still be refused.
+        let first = caller.step().await.map_err(refusal_of)?;
+        set_header(res, "content-type", "text/event-stream");
+        set_header(res, "cache-control", "no-cache");
+        if let GenerationStep::Token(event) = &first {
+            set_header(res, VERSION_HEADER, &event.version.to_string());
+        }
+        let body = caller.into_body(first);
+        res.replace_body(body);
+        return Ok(());
+    }
+    caller.whole(res).await
+}
+
+fn prepare(
+    context: &Arc<ServeContext>,
+    chat: &ChatBody,
+    call: &AdmittedCall,
+) -> Result<Generation, Refusal> {
+    let pool = call.view.pools.get(call.service);
+    let gate = pool.map(|pool| Arc::clone(&pool.gate));
+    let gate = gate.ok_or_else(Refusal::not_found)?;
+    let (customer, weight) = call.customer_id();
+    let request = GateRequest {
+        service: chat.model.as_str().into(),
+        rank: RequestRank::Lookup,
+        customer: customer_number(customer),
+        weight,
+        deadline: call.deadline,
+        choice: ChoiceRequest::default(),
+    };
+    let body = GenerationBody {
+        messages: chat.messages.clone(),
+        max_tokens: chat
+            .max_tokens
+            .unwrap_or(DEFAULT_TOKENS)
+            .clamp(1, MAX_TOKENS),
+        stream: true,
+        seed: chat.seed,
+        priority: 0,
+        resume: Vec::new(),
+    };
+    Ok(Generation::new(
+        Arc::clone(&context.shared),
+        gate,
+        context.client.clone(),
+        request,
+        body,
+        call.deadline,
+    ))
+}
+
+/// Why a caller's generation ended without being whole.
+#[derive(Debug, Clone, Copy)]
+enum StreamFailure {
+    Generation(GenerationFailure),
+    KeyWithdrawn,
+}
+
+fn refusal_of(failure: StreamFailure) -> Refusal {
+    match failure {
+        StreamFailure::KeyWithdrawn => Refusal::key(),
+        StreamFailure::Generation(GenerationFailure::NotRun(refusal)) => refusal.into(),
+        StreamFailure::Generation(GenerationFailure::Late) => Refusal::late(),
+        StreamFailure::Generation(GenerationFailure::Engines) => {
+            Refusal::target_failed("too many engines failed")
+        }
+        StreamFailure::Generation(GenerationFailure::Refused(status)) => {
+            Refusal::bad_request(format!("the engine refused the request with {status}"))
+        }
+    }
+}
+
+struct CallerStream {
+    context: Arc<ServeContext>,
+    changes: watch::Receiver<u64>,
+    id: String,
+    service: String,
+    generation: Generation,
+    call: AdmittedCall,
+    tokens: u64,
+    spans: Vec<SpanBody>,
+    _busy: BusyGuard,
+}
+
+impl CallerStream {
+    async fn step(&mut self) -> Result<GenerationStep, StreamFailure> {
+        let key = self.call.key;
+        let context = Arc::clone(&self.context);
+        let service = self.service.clone();
+        let step = {
+            let stepping = self.generation.step();
+            tokio::pin!(stepping);
+            loop {
+                tokio::select! {
+                    step = &mut stepping => break step,
+                    _ = self.changes.changed() => {
+                        if !is_still_allowed(&context, &service, key.as_ref()) {
+                            return Err(StreamFailure::KeyWithdrawn);
+                        }
+                    }
+                }
+            }
+        };
+        let step = step.map_err(StreamFailure::Generation)?;
+        if let GenerationStep::Token(event) = &step {
+            self.tokens += 1;
+            extend_spans(&mut self.spans, event);
+        }
+        Ok(step)
+    }
+
+    fn chunk(&self, delta: &Value, finish: Option<&str>, event: Option<&TokenEvent>) -> Bytes {
+        let mut chunk = json!({
+            "id": self.id,
+            "object": "chat.completion.chunk",
+            "model": self.service,
+            "choices": [{ "index": 0, "delta": delta, "finish_reason": finish }],
+        });
+        if let Some(event) = event {
+            chunk["weight_version"] = event.version.into();
+            chunk["token_index"] = event.index.into();
+        }
+        if finish.is_some() {
+            chunk["spans"] = json!(self.spans);
+        }
+        Bytes::from(format!("data: {chunk}\n\n"))
+    }
+
+    fn render(&self, step: &GenerationStep) -> Bytes {
+        match step {
+            GenerationStep::Token(event) => {
+                self.chunk(&json!({ "content": event.text }), None, Some(event))
+            }
+            GenerationStep::Finished(reason) => {
+                let last = self.chunk(&json!({}), Some(reason), None);
+                [&last[..], b"data: [DONE]\n\n"].concat().into()
+            }
+        }
+    }
+
+    /// Streams the rest; a failure breaks the connection, so that a cut answer never
+    /// looks whole.
+    fn into_body(self, first: GenerationStep) -> ResBody {
+        let state = Some((self, Some(first)));
+        ResBody::stream(stream::unfold(state, |state| async move {
+            let (mut caller, ready) = state?;
+            let step = match ready {
+                Some(step) => Ok(step),
+                None => caller.step().await,
+            };
+            match step {
+                Ok(step) => {
+                    let bytes = caller.render(&step);
+                    let next = match step {
+                        GenerationStep::Token(_) => Some((caller, None)),
+                        GenerationStep::Finished(_) => {
+                            caller.count();
+                            None
+                        }
+                    };
+                    Some((Ok(bytes), next))
+                }
+                Err(failure) => {
+                    let message = format!("generation ended early: {failure:?}");
+                    Some((Err(std::io::Error::other(message)), None))
+                }
+            }
+        }))
+    }
+
+    async fn whole(mut self, res: &mut Response) -> Result<(), Refusal> {
+        let mut text = String::new();
+        let reason = loop {
+            match self.step().await.map_err(refusal_of)? {
+                GenerationStep::Token(event) => text.push_str(&event.text),
+                GenerationStep::Finished(reason) => break reason,
+            }
+        };
+        let body = json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "model": self.service,
+            "choices": [{
+                "index": 0,
+                "message": { "role": "assistant", "content": text },
+                "finish_reason": reason,
+            }],
+            "usage": { "completion_tokens": self.tokens },
+            "spans": self.spans,
+        });
+        let versions: Vec<String> = self
+            .spans
+            .iter()
+            .map(|it| it.weight_version.to_string())
+            .collect();
+        set_header(res, VERSION_HEADER, &versions.join(","));
+        self.count();
+        write_json(res, &body)
+    }
+
+    /// Charges the customer for a whole answer.
+    fn count(&self) {
+        let (customer, _) = self.call.customer_id();
+        if customer.is_empty() {
+            return;
+        }
+        let key = UsageKey {
+            customer: customer.to_owned(),
+            service: self.service.clone(),
+        };
+        let figure = UsageFigure {
+            requests: 1,
+            tokens: self.tokens,
+            ..UsageFigure::default()
+        };
+        self.context.handle.send(ControlInput::Count(key, figure));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/storage/mod.rs
@@ -0,0 +1,11 @@
+//! The data folder: identity, snapshot and log, durable once synced.
+
+mod file;
+mod folder;
+mod record;
+
+#[cfg(test)]
+mod tests;
+
+pub use folder::DataFolder;
+pub use folder::StorageError;
--- /dev/null
+++ b/crates/policy/src/control/rollout.rs
@@ -0,0 +1,463 @@
+//! Rollouts of a trainer: groups, samples, attempts, and batches delivered once.
+//!
+//! A sample has a fixed ID: its group and its place in it. It may be run by several
+//! attempts; the first one recorded is kept. A batch names samples with their attempts
+//! and is committed before it is delivered. An attempt once dropped can't come back.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+
+use crate::plan::TrainerRow;
+use bergamotlane_coordination::ident::RunId;
+
+/// Batches for which a delivered group's ID is remembered.
+const GROUPS_KEPT_BATCHES: u64 = 64;
+
+/// Identity of a sample within its trainer.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct SampleKey {
+    /// Group.
+    pub group: String,
+    /// Place in the group, from zero.
+    pub place: u32,
+}
+
+/// Identity of one attempt at a sample.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct AttemptId {
+    /// Process run that made the attempt.
+    pub run: RunId,
+    /// Number of the attempt within that run.
+    pub number: u64,
+}
+
+/// A finished attempt.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AttemptRecord {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// Process runs that hold the sample's content.
+    pub holders: Vec<RunId>,
+    /// Oldest weight version that the engine reported for any span.
+    pub oldest_version: u64,
+    /// Tokens.
+    pub tokens: u32,
+}
+
+/// A sample that isn't acknowledged yet.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SampleRecord {
+    /// Log index at which it was submitted.
+    pub order: u64,
+    /// The attempt kept.
+    pub attempt: Option<AttemptRecord>,
+    /// Attempts that may never be delivered.
+    pub dropped: BTreeSet<AttemptId>,
+}
+
+/// A group to be submitted.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NewGroup {
+    /// ID, chosen by the trainer.
+    pub id: String,
+    /// Prompt, as the engine takes it.
+    pub prompt: Bytes,
+    /// Number of samples.
+    pub count: u32,
+}
+
+/// A group as remembered.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GroupRecord {
+    /// Prompt; empty once all samples are delivered.
+    pub prompt: Bytes,
+    /// Number of samples.
+    pub count: u32,
+    /// Samples not acknowledged yet.
+    pub left: u32,
+    /// Cursor with which the last sample was acknowledged.
+    pub finished_at: Option<u64>,
+}
+
+/// A batch committed for delivery.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BatchRecord {
+    /// Cursor.
+    pub cursor: u64,
+    /// Rises when samples that aged or were lost are replaced.
+    pub revision: u32,
+    /// Samples that the batch must have.
+    pub needed: u32,
+    /// Samples with the attempts delivered.
+    pub samples: BTreeMap<SampleKey, AttemptRecord>,
+}
+
+/// A command to a trainer's book.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RolloutCommand {
+    /// Submits groups.
+    Submit {
+        /// The groups.
+        groups: Vec<NewGroup>,
+    },
+    /// Names the trainer's present weight version.
+    Version {
+        /// The version.
+        version: u64,
+    },
+    /// Records a finished attempt.
+    Finish {
+        /// The sample.
+        sample: SampleKey,
+        /// The attempt.
+        record: AttemptRecord,
+    },
+    /// Fetches the batch under a cursor.
+    Fetch {
+        /// The cursor.
+        cursor: u64,
+        /// Weight version of the trainer.
+        version: u64,
+    },
+    /// Acknowledges the batch under a cursor; the trainer may use the samples after that.
+    Acknowledge {
+        /// The cursor.
+        cursor: u64,
+        /// The revision that the trainer holds.
+        revision: u32,
+    },
+    /// Records that no holder has an attempt's content any more.
+    Lose {
+        /// The sample.
+        sample: SampleKey,
+        /// The attempt.
+        attempt: AttemptId,
+    },
+}
+
+/// Answer to a fetch.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum FetchOutcome {
+    /// The batch.
+    Ready {
+        /// The batch.
+        batch: BatchRecord,
+    },
+    /// Not enough samples are done.
+    NotReady {
+        /// Samples done.
+        ready: u32,
+        /// Samples needed.
+        needed: u32,
+    },
+    /// The cursor isn't the next one.
+    BadCursor {
+        /// The next cursor.
+        next: u64,
+    },
+}
+
+/// Result of a rollout command.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RolloutOutcome {
+    /// No such trainer in the plan.
+    UnknownTrainer {},
+    /// Done.
+    Done {},
+    /// A group ID was used with other content; nothing was submitted.
+    GroupConflict {
+        /// The ID.
+        group: String,
+    },
+    /// The attempt was kept.
+    Kept {},
+    /// The attempt is of no use: the sample is done, delivered or unknown, or too old.
+    Useless {},
+    /// Answer to a fetch.
+    Fetched {
+        /// The answer.
+        fetch: FetchOutcome,
+    },
+    /// The batch was acknowledged with this, now or before.
+    Acknowledged {
+        /// Samples that the acknowledgement settled; zero for a repeated one.
+        samples: u64,
+        /// Tokens in them.
+        tokens: u64,
+    },
+    /// The batch has changed since it was fetched; it must be fetched again.
+    Revised {
+        /// The present revision.
+        revision: u32,
+    },
+    /// The cursor of an acknowledgement was never delivered.
+    BadCursor {
+        /// The next cursor.
+        next: u64,
+    },
+}
+
+/// Rollouts of one trainer.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct TrainerBook {
+    /// Weight version of the trainer.
+    pub version: u64,
+    /// Last cursor acknowledged.
+    pub acknowledged: u64,
+    /// Samples delivered and acknowledged.
+    pub delivered: u64,
+    /// The batch under delivery.
+    pub batch: Option<BatchRecord>,
+    /// Groups by ID.
+    pub groups: BTreeMap<String, GroupRecord>,
+    /// Samples not acknowledged yet.
+    pub samples: BTreeMap<SampleKey, SampleRecord>,
+}
+
+impl TrainerBook {
+    /// Returns the samples that need an attempt, oldest first.
+    pub fn open_samples(&self) -> Vec<(&SampleKey, &GroupRecord)> {
+        let mut open: Vec<(&SampleKey, &SampleRecord)> = self
+            .samples
+            .iter()
+            .filter(|(_, record)| record.attempt.is_none())
+            .collect();
+        open.sort_by_key(|(_, record)| record.order);
+        open.into_iter()
+            .filter_map(|(key, _)| Some((key, self.groups.get(&key.group)?)))
+            .collect()
+    }
+
+    /// Returns whether content of `attempt` may still be asked for.
+    pub fn needs(&self, sample: &SampleKey, attempt: AttemptId) -> bool {
+        self.samples.get(sample).is_some_and(|record| {
+            record
+                .attempt
+                .as_ref()
+                .is_none_or(|kept| kept.attempt == attempt)
+                && !record.dropped.contains(&attempt)
+        })
+    }
+
+    pub(super) fn apply(
+        &mut self,
+        index: u64,
+        row: &TrainerRow,
+        command: RolloutCommand,
+    ) -> RolloutOutcome {
+        match command {
+            RolloutCommand::Submit { groups } => self.submit(index, groups),
+            RolloutCommand::Version { version } => {
+                self.version = self.version.max(version);
+                RolloutOutcome::Done {}
+            }
+            RolloutCommand::Finish { sample, record } => self.finish(row, &sample, record),
+            RolloutCommand::Fetch { cursor, version } => {
+                self.version = self.version.max(version);
+                RolloutOutcome::Fetched {
+                    fetch: self.fetch(row, cursor),
+                }
+            }
+            RolloutCommand::Acknowledge { cursor, revision } => self.acknowledge(cursor, revision),
+            RolloutCommand::Lose { sample, attempt } => {
+                self.drop_attempt(&sample, attempt);
+                RolloutOutcome::Done {}
+            }
+        }
+    }
+
+    fn submit(&mut self, index: u64, groups: Vec<NewGroup>) -> RolloutOutcome {
+        let conflict = groups.iter().find(|group| {
+            self.groups.get(&group.id).is_some_and(|known| {
+                let same_prompt = known.finished_at.is_some() || known.prompt == group.prompt;
+                known.count != group.count || !same_prompt
+            })
+        });
+        if let Some(group) = conflict {
+            return RolloutOutcome::GroupConflict {
+                group: group.id.clone(),
+            };
+        }
+        for group in groups {
+            if self.groups.contains_key(&group.id) {
+                continue;
+            }
+            for place in 0..group.count {
+                let key = SampleKey {
+                    group: group.id.clone(),
+                    place,
+                };
+                let record = SampleRecord {
+                    order: index,
+                    attempt: None,
+                    dropped: BTreeSet::new(),
+                };
+                self.samples.insert(key, record);
+            }
+            let record = GroupRecord {
+                prompt: group.prompt,
+                count: group.count,
+                left: group.count,
+                finished_at: None,
+            };
+            self.groups.insert(group.id, record);
+        }
+        RolloutOutcome::Done {}
+    }
+
+    fn is_aged(&self, row: &TrainerRow, record: &AttemptRecord) -> bool {
+        self.version.saturating_sub(record.oldest_version) > u64::from(row.max_age)
+    }
+
+    fn finish(
+        &mut self,
+        row: &TrainerRow,
+        sample: &SampleKey,
+        record: AttemptRecord,
+    ) -> RolloutOutcome {
+        let aged = self.is_aged(row, &record);
+        let Some(known) = self.samples.get_mut(sample) else {
+            return RolloutOutcome::Useless {};
+        };
+        if let Some(kept) = &known.attempt {
+            // A resent record gets its first answer.
+            return match kept.attempt == record.attempt {
+                true => RolloutOutcome::Kept {},
+                false => RolloutOutcome::Useless {},
+            };
+        }
+        if aged || known.dropped.contains(&record.attempt) {
+            return RolloutOutcome::Useless {};
+        }
+        known.attempt = Some(record);
+        RolloutOutcome::Kept {}
+    }
+
+    fn drop_attempt(&mut self, sample: &SampleKey, attempt: AttemptId) {
+        let Some(known) = self.samples.get_mut(sample) else {
+            return;
+        };
+        if known.attempt.as_ref().map(|it| it.attempt) != Some(attempt) {
+            return;
+        }
+        known.attempt = None;
+        known.dropped.insert(attempt);
+        if let Some(batch) = &mut self.batch
+            && batch.samples.remove(sample).is_some()
+        {
+            batch.revision += 1;
+        }
+    }
+
+    fn drop_aged(&mut self, row: &TrainerRow) {
+        let aged: Vec<(SampleKey, AttemptId)> = self
+            .samples
+            .iter()
+            .filter_map(|(key, record)| {
+                let kept = record.attempt.as_ref()?;
+                self.is_aged(row, kept).then(|| (key.clone(), kept.attempt))
+            })
+            .collect();
+        for (key, attempt) in aged {
+            self.drop_attempt(&key, attempt);
+        }
+    }
+
+    fn fetch(&mut self, row: &TrainerRow, cursor: u64) -> FetchOutcome {
+        let next = self.acknowledged + 1;
+        if cursor != next {
+            return FetchOutcome::BadCursor { next };
+        }
+        self.drop_aged(row);
+        let outstanding = self.samples.len() as u32;
+        let step = row.step_samples.min(outstanding);
+        let needed = match &self.batch {
+            Some(batch) => batch.needed.min(outstanding),
+            None => (u64::from(step) * u64::from(row.suffices_percent)).div_ceil(100) as u32,
+        };
+        let ready = self
+            .samples
+            .values()
+            .filter(|record| record.attempt.is_some())
+            .count() as u32;
+        if ready < needed || needed == 0 {
+            return FetchOutcome::NotReady { ready, needed };
+        }
+        let batch = self.fill_batch(cursor, needed, step);
+        FetchOutcome::Ready { batch }
+    }
+
+    /// Commits a batch, or fills up the one that lost samples.
+    fn fill_batch(&mut self, cursor: u64, needed: u32, step: u32) -> BatchRecord {
+        let mut batch = self.batch.take().unwrap_or(BatchRecord {
+            cursor,
+            revision: 0,
+            needed,
+            samples: BTreeMap::new(),
+        });
+        let first = batch.samples.is_empty() && batch.revision == 0;
+        let aim = if first { step } else { needed } as usize;
+        let mut done: Vec<(u64, &SampleKey, &AttemptRecord)> = self
+            .samples
+            .iter()
+            .filter(|(key, _)| !batch.samples.contains_key(*key))
+            .filter_map(|(key, record)| Some((record.order, key, record.attempt.as_ref()?)))
+            .collect();
+        done.sort_by(|left, right| (left.0, left.1).cmp(&(right.0, right.1)));
+        for (_, key, record) in done {
+            if batch.samples.len() >= aim {
+                break;
+            }
+            batch.samples.insert(key.clone(), record.clone());
+        }
+        self.batch = Some(batch.clone());
+        batch
+    }
+
+    fn acknowledge(&mut self, cursor: u64, revision: u32) -> RolloutOutcome {
+        if cursor <= self.acknowledged {
+            return RolloutOutcome::Acknowledged {
+                samples: 0,
+                tokens: 0,
+            };
+        }
+        let next = self.acknowledged + 1;
+        let Some(batch) = self.batch.as_ref().filter(|it| it.cursor == cursor) else {
+            return RolloutOutcome::BadCursor { next };
+        };
+        if batch.revision != revision {
+            let revision = batch.revision;
+            return RolloutOutcome::Revised { revision };
+        }
+        let settled = std::mem::take(&mut self.batch).map_or_else(BTreeMap::new, |it| it.samples);
+        let tokens = settled.values().map(|it| u64::from(it.tokens)).sum();
+        for key in settled.keys() {
+            self.settle(key, cursor);
+        }
+        self.acknowledged = cursor;
+        self.delivered += settled.len() as u64;
+        self.groups.retain(|_, group| {
+            group
+                .finished_at
+                .is_none_or(|it| it + GROUPS_KEPT_BATCHES > cursor)
+        });
+        RolloutOutcome::Acknowledged {
+            samples: settled.len() as u64,
+            tokens,
+        }
+    }
+
+    fn settle(&mut self, key: &SampleKey, cursor: u64) {
+        self.samples.remove(key);
+        let Some(group) = self.groups.get_mut(&key.group) else {
+            return;
+        };
+        group.left -= 1;
+        if group.left == 0 {
+            group.prompt = Bytes::new();
+            group.finished_at = Some(cursor);
+        }
+    }
+}
--- /dev/null
+++ b/crates/policy/src/meter.rs
@@ -0,0 +1,47 @@
+//! An entry's usage increments: numbered, and kept until they are merged.
+
+use std::collections::BTreeMap;
+
+use crate::control::UsageDelta;
+use crate::control::UsageFigure;
+use crate::control::UsageKey;
+
+/// Counts usage and hands it out in numbered increments, one at a time.
+#[derive(Debug, Default)]
+pub struct UsageMeter {
+    counted: BTreeMap<UsageKey, UsageFigure>,
+    shipped: Option<(u64, Vec<UsageDelta>)>,
+    merged: u64,
+}
+
+impl UsageMeter {
+    /// Counts `figure`.
+    pub fn count(&mut self, key: UsageKey, figure: &UsageFigure) {
+        self.counted.entry(key).or_default().add(figure);
+    }
+
+    /// Takes note that increments up to `sequence` are merged for good.
+    pub fn merged(&mut self, sequence: u64) {
+        self.merged = self.merged.max(sequence);
+        if self.shipped.as_ref().is_some_and(|it| it.0 <= sequence) {
+            self.shipped = None;
+        }
+    }
+
+    /// Returns the increments to ship: those not merged yet, unchanged, else new ones.
+    pub fn ship(&mut self) -> Option<(u64, Vec<UsageDelta>)> {
+        if self.shipped.is_none() && !self.counted.is_empty() {
+            let deltas = std::mem::take(&mut self.counted)
+                .into_iter()
+                .map(|(key, figure)| UsageDelta { key, figure })
+                .collect();
+            self.shipped = Some((self.merged + 1, deltas));
+        }
+        self.shipped.clone()
+    }
+
+    /// Returns whether everything counted is merged.
+    pub fn is_settled(&self) -> bool {
+        self.counted.is_empty() && self.shipped.is_none()
+    }
+}
--- /dev/null
+++ b/crates/policy/src/targets/mod.rs
@@ -0,0 +1,32 @@
+//! Targets: who is there, which one takes a request, what versions they load, and how
+//! many there should be.
+
+mod cell;
+mod choice;
+mod fleet;
+mod life;
+mod registry;
+mod weights;
+
+#[cfg(test)]
+mod tests;
+
+pub use cell::CellGuard;
+pub use cell::TargetCell;
+pub use choice::AffinityTable;
+pub use choice::ChoiceRequest;
+pub use choice::ChoiceTarget;
+pub use choice::TargetChooser;
+pub use choice::TargetKey;
+pub use choice::prefix_digest;
+pub use fleet::FleetConfig;
+pub use fleet::FleetPlanner;
+pub use fleet::PoolDemand;
+pub use life::TargetLife;
+pub use registry::REGISTRY_EXPIRY_MS;
+pub use registry::TargetAnnouncement;
+pub use registry::TargetName;
+pub use registry::TargetRecord;
+pub use registry::TargetRegistry;
+pub use weights::WaveConfig;
+pub use weights::WavePlanner;
--- /dev/null
+++ b/crates/standins/examples/load.rs
@@ -0,0 +1,103 @@
+//! Load generator: sends lookups at a fixed concurrency and prints one JSON line.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::time::Duration;
+use std::time::Instant;
+
+use hdrhistogram::Histogram;
+use serde_json::json;
+
+use bergamotlane_standins::arguments::StandinArguments;
+use bergamotlane_wire::http::RefusalBody;
+
+/// Longest latency recorded, in microseconds.
+const MAX_LATENCY_US: u64 = 60_000_000;
+
+/// Returns why a request failed, or `None` if it was answered whole.
+async fn outcome(sent: reqwest::Result<reqwest::Response>) -> Option<String> {
+    let Ok(response) = sent else {
+        return Some("transport".to_owned());
+    };
+    let status = response.status();
+    let Ok(body) = response.bytes().await else {
+        return Some("cut-off".to_owned());
+    };
+    if status.is_success() {
+        return None;
+    }
+    let refusal = serde_json::from_slice::<RefusalBody>(&body);
+    Some(refusal.map_or_else(|_| status.to_string(), |it| it.code))
+}
+
+#[tokio::main]
+async fn main() {
+    let names = ["url", "key", "concurrency", "seconds", "rate", "name"];
+    let arguments = StandinArguments::parse(&names);
+    let url: Arc<str> = arguments.text("url", "").into();
+    let key: Arc<str> = arguments.text("key", "").into();
+    let concurrency = arguments.number("concurrency", 16);
+    let seconds = arguments.number("seconds", 3);
+    let rate = arguments.number("rate", 0);
+    let histogram = Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, 3);
+    let histogram = Arc::new(Mutex::new(histogram.expect("bounds are valid")));
+    let failures = Arc::new(Mutex::new(BTreeMap::<String, u64>::new()));
+    let client = reqwest::Client::new();
+    let end = Instant::now() + Duration::from_secs(seconds);
+    let pause = match rate {
+        0 => Duration::ZERO,
+        rate => Duration::from_secs_f64(concurrency as f64 / rate as f64),
+    };
+    let mut tasks = Vec::new();
+    for worker in 0..concurrency {
+        let (url, key, client) = (Arc::clone(&url), Arc::clone(&key), client.clone());
+        let (histogram, failures) = (Arc::clone(&histogram), Arc::clone(&failures));
+        tasks.push(tokio::spawn(async move {
+            let mut own =
+                Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, 3).expect("bounds are valid");
+            let mut failed = BTreeMap::<String, u64>::new();
+            // Workers are spread over one pause, and latency counts from the due time, so
+            // that a stall isn't hidden by requests that were not sent.
+            let mut due = Instant::now() + pause.mul_f64(worker as f64 / concurrency as f64);
+            while Instant::now() < end {
+                if !pause.is_zero() {
+                    tokio::time::sleep_until(due.into()).await;
+                } else {
+                    due = Instant::now();
+                }
+                let sent = client.get(&*url).bearer_auth(&key).send().await;
+                match outcome(sent).await {
+                    None => own.saturating_record(due.elapsed().as_micros() as u64),
+                    Some(code) => *failed.entry(code).or_default() += 1,
+                }
+                due += pause;
+            }
+            histogram
+                .lock()
+                .expect("no panic")
+                .add(own)
+                .expect("same bounds");
+            let mut failures = failures.lock().expect("no panic");
+            for (code, count) in failed {
+                *failures.entry(code).or_default() += count;
+            }
+        }));
+    }
+    for task in tasks {
+        task.await.expect("worker doesn't panic");
+    }
+    let histogram = histogram.lock().expect("no panic");
+    let failures = failures.lock().expect("no panic");
+    let line = json!({
+        "name": arguments.text("name", "load"),
+        "requests": histogram.len(),
+        "failures": failures.values().sum::<u64>(),
+        "codes": *failures,
+        "per_second": histogram.len() as f64 / seconds as f64,
+        "p50_us": histogram.value_at_quantile(0.5),
+        "p99_us": histogram.value_at_quantile(0.99),
+        "max_us": histogram.max(),
+    });
+    println!("{line}");
+}
--- /dev/null
+++ b/crates/wire/src/consensus.rs
@@ -0,0 +1,108 @@
+//! Wire forms of the replicated log and its messages.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use serde_bytes::ByteBuf;
+
+use crate::codec::WireError;
+use crate::mirror::Mirror;
+use crate::mirror::mirror_conversions;
+use crate::mirror::mirror_enum;
+use crate::mirror::mirror_struct;
+use bergamotlane_coordination::consensus::ConsensusMessage;
+use bergamotlane_coordination::consensus::EntryBody;
+use bergamotlane_coordination::consensus::GroupMembership;
+use bergamotlane_coordination::consensus::LogEntry;
+use bergamotlane_coordination::consensus::LogSnapshot;
+use bergamotlane_coordination::consensus::MemberRecord;
+use bergamotlane_coordination::consensus::VoteRecord;
+use bergamotlane_coordination::ident::NodeId;
+
+mirror_struct! {
+    /// Wire form of [`MemberRecord`].
+    MemberRecordWire for MemberRecord { name: String, address: String, zone: String }
+}
+
+mirror_struct! {
+    /// Wire form of [`GroupMembership`].
+    GroupMembershipWire for GroupMembership {
+        voters: BTreeMap<NodeId, MemberRecord>,
+        learners: BTreeMap<NodeId, MemberRecord>,
+    }
+}
+
+mirror_struct! {
+    /// Wire form of [`VoteRecord`].
+    VoteRecordWire for VoteRecord { term: u64, voted_for: Option<NodeId> }
+}
+
+/// Wire form of [`EntryBody`].
+#[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
+#[serde(rename_all = "kebab-case")]
+#[allow(missing_docs)]
+pub enum EntryBodyWire {
+    Noop,
+    Command(ByteBuf),
+    Membership(GroupMembershipWire),
+}
+
+impl Mirror for EntryBody {
+    type Wire = EntryBodyWire;
+
+    fn to_wire(&self) -> EntryBodyWire {
+        match self {
+            Self::Noop => EntryBodyWire::Noop,
+            Self::Command(bytes) => EntryBodyWire::Command(bytes.to_wire()),
+            Self::Membership(membership) => EntryBodyWire::Membership(membership.to_wire()),
+        }
+    }
+
+    fn from_wire(wire: EntryBodyWire) -> Result<Self, WireError> {
+        Ok(match wire {
+            EntryBodyWire::Noop => Self::Noop,
+            EntryBodyWire::Command(bytes) => Self::Command(Bytes::from_wire(bytes)?),
+            EntryBodyWire::Membership(membership) => {
+                Self::Membership(GroupMembership::from_wire(membership)?)
+            }
+        })
+    }
+}
+
+mirror_conversions!(EntryBodyWire, EntryBody);
+
+mirror_struct! {
+    /// Wire form of [`LogEntry`].
+    LogEntryWire for LogEntry { index: u64, term: u64, body: EntryBody }
+}
+
+mirror_struct! {
+    /// Wire form of [`LogSnapshot`].
+    LogSnapshotWire for LogSnapshot {
+        index: u64,
+        term: u64,
+        membership: GroupMembership,
+        data: Bytes,
+    }
+}
+
+mirror_enum! {
+    /// Wire form of [`ConsensusMessage`].
+    ConsensusMessageWire for ConsensusMessage {
+        PreVote { term: u64, last_index: u64, last_term: u64 },
+        PreVoteReply { term: u64, granted: bool },
+        Vote { term: u64, last_index: u64, last_term: u64, transfer: bool },
+        VoteReply { term: u64, granted: bool },
+        Append {
+            term: u64,
+            prev_index: u64,
+            prev_term: u64,
+            entries: Vec<LogEntry>,
+            commit: u64,
+            round: u64,
+        },
+        AppendReply { term: u64, matched: Option<u64>, prev_index: u64, hint: u64, round: u64 },
+        Snapshot { term: u64, snapshot: LogSnapshot, round: u64 },
+        Campaign { term: u64 },
+    }
+}
--- /dev/null
+++ b/crates/wire/src/targets.rs
@@ -0,0 +1,33 @@
+//! Wire forms of targets.
+
+use crate::mirror::mirror_enum;
+use crate::mirror::mirror_struct;
+use bergamotlane_policy::control::PriceClass;
+use bergamotlane_policy::targets::TargetAnnouncement;
+use bergamotlane_policy::targets::TargetLife;
+use bergamotlane_policy::targets::TargetName;
+
+mirror_enum! {
+    /// Wire form of [`TargetLife`].
+    TargetLifeWire for TargetLife { Cold {}, Warm {}, Leaving {}, Gone {} }
+}
+
+mirror_struct! {
+    /// Wire form of [`TargetName`].
+    TargetNameWire for TargetName { service: String, name: String }
+}
+
+mirror_struct! {
+    /// Wire form of [`TargetAnnouncement`].
+    TargetAnnouncementWire for TargetAnnouncement {
+        target: TargetName,
+        boot: u64,
+        address: String,
+        zone: String,
+        class: PriceClass,
+        warm: bool,
+        leaving: bool,
+        version: u64,
+        load: u32,
+    }
+}
