Ignore slots that a later question returned

Cause: an entry asks the leader for slots of a target and may have several questions under way. An answer to an earlier one could grant slots that a later question had already given back, so the ledger granted them to somebody else as well and a cold target got more than its budget.

Ruled out: capping an answer by what the last question wanted.

Change: an entry remembers its questions and grants itself no more than the least that was wanted since the one answered. The leader echoes the question's number.

A target that restarts under its old address is still not covered.

--- /dev/null
+++ b/crates/coordination/tests/parts.rs
@@ -0,0 +1,189 @@
+//! Charts, freshness and repair through the public interface.
+
+use std::collections::BTreeMap;
+
+use proptest::prelude::*;
+use rstest::rstest;
+
+use bergamotlane_coordination::chart::ChartError;
+use bergamotlane_coordination::chart::ChartLabel;
+use bergamotlane_coordination::chart::StateChart;
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_coordination::consensus::GroupMembership;
+use bergamotlane_coordination::consensus::MemberRecord;
+use bergamotlane_coordination::freshness::ForceTable;
+use bergamotlane_coordination::freshness::ViewFreshness;
+use bergamotlane_coordination::ident::NodeId;
+use bergamotlane_coordination::ident::RunId;
+use bergamotlane_coordination::repair::RepairConfig;
+use bergamotlane_coordination::repair::RepairPlanner;
+use bergamotlane_coordination::repair::RepairStep;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Door {
+    Open,
+    Shut,
+}
+
+impl ChartLabel for Door {
+    const ALL: &'static [Self] = &[Self::Open, Self::Shut];
+
+    fn label(self) -> &'static str {
+        match self {
+            Self::Open => "open",
+            Self::Shut => "shut",
+        }
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Push {
+    Pull,
+}
+
+impl ChartLabel for Push {
+    const ALL: &'static [Self] = &[Self::Pull];
+
+    fn label(self) -> &'static str {
+        "pull"
+    }
+}
+
+#[rstest]
+#[case::unhandled("open pull -> shut", ChartError::Unhandled { state: "shut", event: "pull" })]
+#[case::unreachable(
+    "open pull -> open\nshut pull -> open",
+    ChartError::Unreachable { state: "shut" }
+)]
+#[case::unknown(
+    "open pull -> ajar\nopen pull -> shut\nshut pull -> open",
+    ChartError::UnknownWord { line: 1, word: "ajar".to_owned() }
+)]
+#[case::syntax("open pull shut\nopen pull -> shut\nshut pull -> open", ChartError::Syntax { line: 1 })]
+fn a_faulty_chart_is_refused(#[case] text: &str, #[case] expected: ChartError) {
+    let errors = StateChart::<Door, Push>::parse(text).unwrap_err();
+    assert_eq!(errors, vec![expected]);
+}
+
+#[test]
+fn a_view_counts_only_with_everything_committed_when_it_was_asked() {
+    let mut freshness = ViewFreshness::new(2_000);
+    assert!(!freshness.is_fresh(ClockTime(0)));
+    assert!(!freshness.confirm(ClockTime(100), 7, 6));
+    assert!(!freshness.is_fresh(ClockTime(100)));
+    assert!(freshness.confirm(ClockTime(100), 7, 7));
+    assert!(freshness.is_fresh(ClockTime(2_099)));
+    assert!(!freshness.is_fresh(ClockTime(2_100)));
+    // A late answer to an older question doesn't shorten or lengthen it.
+    freshness.confirm(ClockTime(50), 7, 7);
+    assert_eq!(freshness.fresh_until(), Some(ClockTime(2_100)));
+}
+
+proptest! {
+    /// Whatever answers are lost or late, once the leader says that a change is in force
+    /// no follower acts on an older view, even if clocks drift by the allowance.
+    #[test]
+    fn in_force_means_that_nobody_acts_on_an_older_view(
+        steps in prop::collection::vec((0_u64..4, 0_u64..900, any::<bool>(), 0_u64..300), 1..120),
+        drifts in prop::collection::vec(-5_i64..=5, 4),
+    ) {
+        const WINDOW_MS: u64 = 2_000;
+        let local = |follower: u64, time: u64| {
+            let drift = drifts[follower as usize];
+            ClockTime((time as i64 * (1_000 + drift) / 1_000) as u64)
+        };
+        let mut table = ForceTable::new(ClockTime(0), WINDOW_MS);
+        let mut views = [ViewFreshness::new(WINDOW_MS); 4];
+        let mut applied = [0_u64; 4];
+        let mut time = 0;
+        let mut commit = 0;
+        for (place, (follower, pause, commits, delay)) in steps.into_iter().enumerate() {
+            let asked = time;
+            time += delay;
+            // The leader answers a question sent `delay` ago, with all entries.
+            if place % 7 != 6 {
+                table.answer(ClockTime(time), RunId(follower), applied[follower as usize]);
+                if place % 5 != 4 {
+                    applied[follower as usize] = commit;
+                    let asked_at = local(follower, asked);
+                    views[follower as usize].confirm(asked_at, commit, commit);
+                }
+            }
+            commit += u64::from(commits);
+            time += pause;
+            if !table.in_force(ClockTime(time), commit) {
+                continue;
+            }
+            for other in 0..4_u64 {
+                let fresh = views[other as usize].is_fresh(local(other, time));
+                prop_assert!(!fresh || applied[other as usize] >= commit);
+            }
+        }
+    }
+}
+
+#[test]
+fn a_new_leader_says_nothing_is_in_force_until_old_views_ran_out() {
+    let table = ForceTable::new(ClockTime(0), 2_000);
+    assert!(!table.in_force(ClockTime(2_019), 1));
+    assert!(table.in_force(ClockTime(2_020), 1));
+}
+
+fn record(node: u64) -> MemberRecord {
+    MemberRecord {
+        name: format!("n{node}"),
+        address: String::new(),
+        zone: format!("z{}", node % 3),
+    }
+}
+
+fn planner(now: u64, seen: &[u64]) -> RepairPlanner {
+    let config = RepairConfig {
+        voter_count: 3,
+        lost_after_ms: 1_000,
+    };
+    let mut planner = RepairPlanner::new(ClockTime(0), config);
+    for node in seen {
+        planner.saw(ClockTime(now), NodeId(*node), record(*node));
+    }
+    planner
+}
+
+fn membership(voters: &[u64], learners: &[u64]) -> GroupMembership {
+    let records = |nodes: &[u64]| -> BTreeMap<NodeId, MemberRecord> {
+        nodes.iter().map(|it| (NodeId(*it), record(*it))).collect()
+    };
+    GroupMembership {
+        voters: records(voters),
+        learners: records(learners),
+    }
+}
+
+#[rstest]
+#[case::whole(&[2, 3, 9], &[1, 2, 3], &[], None)]
+#[case::a_lost_voter_gets_a_spare_of_its_zone(&[2, 6, 8], &[1, 2, 3], &[], Some("add 6"))]
+#[case::the_learner_is_promoted(&[2, 6], &[1, 2, 3], &[6], Some("promote 6"))]
+#[case::then_the_lost_one_is_removed(&[2, 6], &[1, 2, 3, 6], &[], Some("remove 3"))]
+#[case::a_lost_learner_is_removed(&[2, 3], &[1, 2, 3], &[6], Some("remove 6"))]
+#[case::no_spare_no_change(&[2], &[1, 2, 3], &[], None)]
+#[case::a_young_group_grows(&[5], &[1], &[], Some("add 5"))]
+fn repair_takes_one_step_at_a_time(
+    #[case] seen: &[u64],
+    #[case] voters: &[u64],
+    #[case] learners: &[u64],
+    #[case] expected: Option<&str>,
+) {
+    let planner = planner(5_000, seen);
+    let membership = membership(voters, learners);
+    let step = planner.next_step(ClockTime(5_000), NodeId(1), &membership);
+    let text = step.as_ref().map(|step| match step {
+        RepairStep::AddLearner(node, _) => format!("add {}", node.0),
+        RepairStep::Promote(node) => format!("promote {}", node.0),
+        RepairStep::Remove(node) => format!("remove {}", node.0),
+    });
+    assert_eq!(text.as_deref(), expected);
+    if let Some(step) = step {
+        let next = step.apply(&membership).unwrap();
+        assert!(membership.is_single_step(&next));
+    }
+}
--- a/crates/daemon/src/control/follow.rs
+++ b/crates/daemon/src/control/follow.rs
@@ -167,7 +167,7 @@
             applied: self.state.index,
             registry: self.follow.registry,
             roster: self.follow.roster,
-            slots: self.slot_wishes(time),
+            slots: self.slot_wishes(time, self.follow.sequence),
             demand: self.demand_reports(),
             shares: self.share_reports(time),
             usage,
@@ -216,7 +216,8 @@
             false => (0, 0),
         };
         self.meter.merged(view.usage_merged);
-        self.take_slots(ClockTime(view.sent_at) + view.slot_lease_ms, view.slots);
+        let until = ClockTime(view.sent_at) + view.slot_lease_ms;
+        self.take_slots(until, view.sequence, view.slots);
         self.take_shares(view.shares);
         // The leader learns sooner that a change is in force here.
         if self.state.index > before && self.publish.changed {
--- a/crates/daemon/src/control/lead.rs
+++ b/crates/daemon/src/control/lead.rs
@@ -358,6 +358,7 @@
         });
         let mut view = ViewFrame {
             sent_at: ask.sent_at,
+            sequence: ask.sequence,
             leader: self.run.0,
             term,
             commit,
--- a/crates/daemon/src/control/publish.rs
+++ b/crates/daemon/src/control/publish.rs
@@ -16,6 +16,7 @@
 use bergamotlane_policy::arrival::ArrivalRate;
 use bergamotlane_policy::control::PriceClass;
 use bergamotlane_policy::route::RouteTable;
+use bergamotlane_policy::targets::AskedSlots;
 use bergamotlane_policy::targets::ChoiceTarget;
 use bergamotlane_policy::targets::TargetCell;
 use bergamotlane_policy::targets::TargetChooser;
@@ -43,6 +44,7 @@
     boot: u64,
     identity: u64,
     cell: Arc<TargetCell>,
+    asked: AskedSlots,
 }
 
 /// What the published view is made from, beside the control state.
@@ -126,6 +128,7 @@
                         boot: announcement.boot,
                         identity: self.publish.next_identity,
                         cell: Arc::default(),
+                        asked: AskedSlots::default(),
                     };
                     self.publish
                         .cells
@@ -198,24 +201,24 @@
 
     /// Returns the slots that this instance wants; lowers its own grants first where it
     /// wants less.
-    pub(super) fn slot_wishes(&mut self, time: ClockTime) -> Vec<SlotAsk> {
+    pub(super) fn slot_wishes(&mut self, time: ClockTime, sequence: u64) -> Vec<SlotAsk> {
         let mut rates: HashMap<&str, u32> = HashMap::new();
         for (service, gate) in &self.publish.gates {
             let arrivals = self.publish.arrivals.entry(service.clone()).or_default();
             rates.insert(service, arrivals.add(time, gate.take_recent()));
         }
-        let mut counts: HashMap<&str, u32> = HashMap::new();
+        let mut counts: HashMap<String, u32> = HashMap::new();
         for name in self.publish.cells.keys() {
-            *counts.entry(&name.service).or_default() += 1;
+            *counts.entry(name.service.clone()).or_default() += 1;
         }
         let mut wishes = Vec::new();
-        for (name, known) in &self.publish.cells {
+        for (name, known) in &mut self.publish.cells {
             let Some(target) = self.follow.targets.get(name) else {
                 continue;
             };
             let gate = self.publish.gates.get(&name.service);
             let waiting = gate.map_or(0, |gate| gate.waiting());
-            let targets = counts.get(name.service.as_str()).copied().unwrap_or(1);
+            let targets = counts.get(&name.service).copied().unwrap_or(1);
             let rate = rates.get(name.service.as_str());
             let in_use = rate.copied().unwrap_or_default() > 0;
             let in_flight = known.cell.in_flight();
@@ -228,6 +231,7 @@
             let held = known.cell.lower(want);
             let granted = known.cell.granted(time);
             if want > 0 || held > 0 || granted > 0 {
+                known.asked.ask(sequence, want);
                 wishes.push(SlotAsk {
                     target: TargetNameWire::from(name),
                     held,
@@ -238,18 +242,19 @@
         wishes
     }
 
-    pub(super) fn take_slots(&mut self, until: ClockTime, slots: Vec<SlotAnswer>) {
+    pub(super) fn take_slots(&mut self, until: ClockTime, sequence: u64, slots: Vec<SlotAnswer>) {
         let mut services = Vec::new();
         for answer in slots {
             let Ok(name) = TargetName::try_from(answer.target) else {
                 continue;
             };
             let target = self.follow.targets.get(&name);
-            let (Some(known), Some(target)) = (self.publish.cells.get(&name), target) else {
+            let (Some(known), Some(target)) = (self.publish.cells.get_mut(&name), target) else {
                 continue;
             };
             let lasting = target.life == TargetLife::Warm;
-            known.cell.grant(answer.count, until, lasting);
+            let count = known.asked.answer(sequence, answer.count);
+            known.cell.grant(count, until, lasting);
             services.push(name.service);
         }
         for service in services {
--- a/crates/policy/src/targets/cell.rs
+++ b/crates/policy/src/targets/cell.rs
@@ -53,10 +53,10 @@
         self.in_flight().max(self.granted.load(Ordering::Relaxed))
     }
 
-    /// Lowers the grant to `count` before the ledger hears of it, and returns the slots
+    /// Lowers the grant to `want` before the ledger hears of it, and returns the slots
     /// that are still held.
-    pub fn lower(&self, count: u32) -> u32 {
-        self.granted.fetch_min(count, Ordering::Relaxed);
+    pub fn lower(&self, want: u32) -> u32 {
+        self.granted.fetch_min(want, Ordering::Relaxed);
         self.held()
     }
 
--- a/crates/policy/src/targets/mod.rs
+++ b/crates/policy/src/targets/mod.rs
@@ -1,6 +1,7 @@
 //! Targets: who is there, which one takes a request, what versions they load, and how
 //! many there should be.
 
+mod asked;
 mod cell;
 mod choice;
 mod fleet;
@@ -11,6 +12,7 @@
 #[cfg(test)]
 mod tests;
 
+pub use asked::AskedSlots;
 pub use cell::CellGuard;
 pub use cell::TargetCell;
 pub use choice::AffinityTable;
--- a/crates/standins/examples/load.rs
+++ b/crates/standins/examples/load.rs
@@ -57,18 +57,18 @@
             let mut own =
                 Histogram::<u64>::new_with_bounds(1, MAX_LATENCY_US, 3).expect("bounds are valid");
             let mut failed = BTreeMap::<String, u64>::new();
-            // Workers are spread over one pause, and latency counts from the due time, so
-            // that a stall isn't hidden by requests that were not sent.
+            // Workers are spread over one pause. Latency counts from the sending, since
+            // the timer's grain would hide what is measured here.
             let mut due = Instant::now() + pause.mul_f64(worker as f64 / concurrency as f64);
             while Instant::now() < end {
                 if !pause.is_zero() {
                     tokio::time::sleep_until(due.into()).await;
-                } else {
-                    due = Instant::now();
                 }
+                let started = Instant::now();
                 let sent = client.get(&*url).bearer_auth(&key).send().await;
-                match outcome(sent).await {
-                    None => own.saturating_record(due.elapsed().as_micros() as u64),
+                let failure = outcome(sent).await;
+                match failure {
+                    None => own.saturating_record(started.elapsed().as_micros() as u64),
                     Some(code) => *failed.entry(code).or_default() += 1,
                 }
                 due += pause;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -168,6 +168,8 @@
 pub struct ViewFrame {
     /// `sent_at` of the question.
     pub sent_at: u64,
+    /// `sequence` of the question.
+    pub sequence: u64,
     /// The leader's run.
     pub leader: u64,
     /// Term.
