Split long files, and make three tests able to fail

Change: lead.rs into lead, answers and duties; recovery, settings, founding, proposal and sample on their own. The sample schedule delivers on its way (over 4,000 samples are used before the end, checked), outcomes must be exactly those expected, and the withdrawn stream is compared with one that started earlier and must outlive it. No behaviour changed.

--- a/crates/cli/src/cmd/sheet_apply.rs
+++ b/crates/cli/src/cmd/sheet_apply.rs
@@ -1,11 +1,10 @@
 //! `sheet apply`: replaces the plan by a sheet.
 
-use std::fs;
-
 use reqwest::Method;
 
 use super::CommandInput;
 use super::print_accepted;
+use crate::config::read_bytes;
 use crate::failure::CommandFailure;
 
 /// Sends the sheet.
@@ -15,11 +14,7 @@
 /// Returns why it was not accepted.
 pub fn run(input: &CommandInput) -> Result<(), CommandFailure> {
     let path = input.only("FILE")?;
-    let bytes = fs::read(path).map_err(|source| CommandFailure::File {
-        action: "read",
-        path: path.to_owned(),
-        source,
-    })?;
+    let bytes = read_bytes(path)?;
     let options = input.change_options()?;
     let client = input.client()?;
     let accepted = client.change(Method::PUT, "/v1/sheet", bytes, options)?;
--- a/crates/cli/src/cmd/sheet_check.rs
+++ b/crates/cli/src/cmd/sheet_check.rs
@@ -1,8 +1,7 @@
 //! `sheet check`: checks a sheet without a daemon.
 
-use std::fs;
-
 use super::CommandInput;
+use crate::config::read_bytes;
 use crate::failure::CommandFailure;
 use bergamotlane_policy::plan::read_sheet;
 
@@ -13,11 +12,7 @@
 /// Returns the findings, or that the file can't be read.
 pub fn run(input: &CommandInput) -> Result<(), CommandFailure> {
     let path = input.only("FILE")?;
-    let bytes = fs::read(path).map_err(|source| CommandFailure::File {
-        action: "read",
-        path: path.to_owned(),
-        source,
-    })?;
+    let bytes = read_bytes(path)?;
     match read_sheet(&bytes) {
         Ok(sheet) => {
             println!(
--- a/crates/cli/src/config.rs
+++ b/crates/cli/src/config.rs
@@ -27,6 +27,19 @@
     read_text(&path).map(|text| text.trim().to_owned())
 }
 
+/// Reads a file.
+///
+/// # Errors
+///
+/// Returns a failure that names the file.
+pub fn read_bytes(path: &str) -> Result<Vec<u8>, CommandFailure> {
+    fs::read(path).map_err(|source| CommandFailure::File {
+        action: "read",
+        path: path.to_owned(),
+        source,
+    })
+}
+
 /// Reads a text file.
 ///
 /// # Errors
--- a/crates/coordination/src/consensus/mod.rs
+++ b/crates/coordination/src/consensus/mod.rs
@@ -16,6 +16,7 @@
 mod membership;
 mod message;
 mod node;
+mod proposal;
 mod replication;
 mod role;
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,6 +1,9 @@
 //! The control thread: owns all control state, and is reached by messages.
 
+mod answers;
+mod duties;
 mod follow;
+mod founding;
 mod lead;
 mod outputs;
 mod publish;
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -1,7 +1,6 @@
 //! The loop of the control thread, and the state that it owns.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -21,12 +20,12 @@
 use super::voter::DiskVoter;
 use super::work::WorkState;
 use crate::clock::now;
-use crate::config::DaemonConfig;
 use crate::peers::LocalHello;
 use crate::peers::PeerEvent;
 use crate::peers::PeerHub;
 use crate::platform::PlatformClient;
 use crate::samples::SampleStore;
+use crate::settings::DaemonConfig;
 use crate::shared::TrafficShared;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::consensus::ConsensusOutput;
@@ -248,19 +247,6 @@
         }
     }
 
-    pub(super) fn set_cluster(&mut self, cluster: u64) {
-        if self.cluster.is_some() {
-            return;
-        }
-        self.cluster = Some(cluster);
-        self.local.set_cluster(cluster);
-        if let Some(voter) = &mut self.voter
-            && let Err(error) = voter.folder.join(cluster)
-        {
-            self.lose_disk(&error);
-        }
-    }
-
     fn handle_input(&mut self, input: ControlInput) {
         match input {
             ControlInput::Peer(event) => self.on_peer(event),
@@ -365,46 +351,6 @@
         }
     }
 
-    /// Forms the group at the very first start, on the founder only, and only once every
-    /// seed has answered that it knows of no group.
-    fn found_group(&mut self, time: ClockTime) {
-        let Some(voter) = &self.voter else {
-            return;
-        };
-        let fresh = self.cluster.is_none() && voter.node.log().last_index() == 0;
-        if !fresh || self.config.founder != self.config.name {
-            return;
-        }
-        let own = self.config.peers;
-        let known: BTreeSet<SocketAddr> = self
-            .peers
-            .values()
-            .filter_map(|hello| hello.address.parse().ok())
-            .collect();
-        let mut seeds = self.config.seeds.iter();
-        if !seeds.all(|seed| *seed == own || known.contains(seed)) {
-            return;
-        }
-        let membership = GroupMembership {
-            voters: BTreeMap::from([(voter.node.id(), self.own_record())]),
-            learners: BTreeMap::new(),
-        };
-        let cluster = rand::random::<u64>().max(1);
-        spdlog::info!("consensus: Forms cluster {cluster:016x}.");
-        self.set_cluster(cluster);
-        if let Some(voter) = &mut self.voter {
-            voter.node.form(time, membership, &mut self.outputs);
-        }
-    }
-
-    /// Goes on without voting after storage has failed.
-    pub(super) fn lose_disk(&mut self, error: &crate::storage::StorageError) {
-        spdlog::error!("consensus: Stops voting, since storage failed: {error}.");
-        self.voter = None;
-        self.outputs.clear();
-        self.end_lead();
-    }
-
     pub(super) fn leads(&self) -> bool {
         self.voter.as_ref().is_some_and(DiskVoter::leads)
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -15,7 +15,6 @@
 use tokio::time::sleep;
 
 use crate::clock::now;
-use crate::config::DaemonConfig;
 use crate::control::ControlHandle;
 use crate::control::ControlHub;
 use crate::control::ControlInput;
@@ -34,6 +33,7 @@
 use crate::serve::ServeContext;
 use crate::serve::TargetHandler;
 use crate::serve::start_server;
+use crate::settings::DaemonConfig;
 use crate::shared::TrafficShared;
 use crate::storage::DataFolder;
 use crate::storage::StorageError;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -12,8 +12,8 @@
 use spdlog::sink::StdStream;
 use spdlog::sink::StdStreamSink;
 
-use crate::config::LogFormat;
-use crate::config::LogLevel;
+use crate::settings::LogFormat;
+use crate::settings::LogLevel;
 
 /// Sets up the process's logger.
 ///
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -13,6 +13,7 @@
 mod rollout;
 mod samples;
 mod serve;
+mod settings;
 mod shared;
 mod storage;
 
--- a/crates/daemon/src/peers/handshake.rs
+++ b/crates/daemon/src/peers/handshake.rs
@@ -13,7 +13,7 @@
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::Message;
 
-use crate::config::SecretKey;
+use crate::settings::SecretKey;
 use bergamotlane_wire::codec;
 use bergamotlane_wire::codec::WireError;
 use bergamotlane_wire::peer::HelloFrame;
--- a/crates/daemon/src/peers/tests.rs
+++ b/crates/daemon/src/peers/tests.rs
@@ -4,14 +4,12 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
-use bergamotlane_wire::peer::HelloFrame;
-use bergamotlane_wire::peer::PROTOCOL_VERSION;
-
-use crate::config::SecretKey;
-
 use super::handshake::HandshakeError;
 use super::handshake::LocalHello;
 use super::handshake::shake_hands;
+use crate::settings::SecretKey;
+use bergamotlane_wire::peer::HelloFrame;
+use bergamotlane_wire::peer::PROTOCOL_VERSION;
 
 fn hello(run: u64, version: u32, cluster: Option<u64>, key: &'static [u8]) -> LocalHello {
     let hello = HelloFrame {
--- a/crates/daemon/src/serve/mod.rs
+++ b/crates/daemon/src/serve/mod.rs
@@ -28,9 +28,9 @@
 use tokio::net::TcpListener;
 use tokio::task::JoinHandle;
 
-use crate::config::SecretKey;
 use crate::control::ControlHandle;
 use crate::samples::SampleStore;
+use crate::settings::SecretKey;
 use crate::shared::TrafficShared;
 use bergamotlane_coordination::ident::RunId;
 
--- a/crates/daemon/src/storage/mod.rs
+++ b/crates/daemon/src/storage/mod.rs
@@ -3,6 +3,7 @@
 mod file;
 mod folder;
 mod record;
+mod recovery;
 
 #[cfg(test)]
 mod tests;
--- a/crates/daemon/tests/processes/failures.rs
+++ b/crates/daemon/tests/processes/failures.rs
@@ -6,6 +6,7 @@
 use std::fs;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
 use reqwest::Method;
@@ -74,6 +75,17 @@
     let other = cluster.client.post(url).bearer_auth("medal-works-demo-key");
     let mut other = other.json(&body).send().await.unwrap();
     assert_eq!(other.status(), 200);
+    let read = Arc::new(AtomicU64::new(0));
+    let reading = Arc::clone(&read);
+    let other = tokio::spawn(async move {
+        while let Ok(Some(_)) = other.chunk().await {
+            reading.fetch_add(1, Ordering::Relaxed);
+        }
+    });
+    let well_ahead = async |_: &Cluster| read.load(Ordering::Relaxed) > 20;
+    cluster
+        .until("the other stream is well ahead", well_ahead)
+        .await;
     let stream = cluster.call(1, Method::POST, path).json(&body);
     let stream = stream.send().await.unwrap();
     assert_eq!(stream.status(), 200);
@@ -89,7 +101,7 @@
     }
     // The stream breaks off, and visibly so; the other one goes on.
     assert!(stream.bytes().await.is_err());
-    assert!(other.chunk().await.expect("it goes on").is_some());
+    assert!(!other.is_finished());
     // A sheet from before the withdrawal does not revive the key.
     let sheet = cluster
         .operate(0, Method::GET, "/v1/status", Vec::new())
--- a/crates/daemon/tests/processes/faults.rs
+++ b/crates/daemon/tests/processes/faults.rs
@@ -41,7 +41,7 @@
 async fn a_faulty_target_gives_a_whole_answer_or_a_true_refusal(
     #[case] service: &str,
     #[case] fault: &str,
-    #[case] allowed: &[&str],
+    #[case] expected: &[&str],
 ) {
     let mut cluster = Cluster::start(3, 3, 3).await;
     let faulty = cluster
@@ -61,8 +61,8 @@
     for call in calls {
         seen.insert(call.await.unwrap());
     }
-    let allowed: BTreeSet<String> = allowed.iter().map(|it| (*it).to_owned()).collect();
-    assert!(seen.is_subset(&allowed), "{seen:?}");
+    let expected: BTreeSet<String> = expected.iter().map(|it| (*it).to_owned()).collect();
+    assert_eq!(seen, expected);
     let mut audits = vec![cluster.audit(sound).await];
     if fault != "crash" {
         audits.push(cluster.audit(faulty).await);
--- a/crates/policy/src/control/tests.rs
+++ b/crates/policy/src/control/tests.rs
@@ -362,28 +362,32 @@
     }
 
     fn step(&mut self) {
-        match self.random.random_range(0..12) {
-            0 => self.submit(),
-            1 => {
+        match self.random.random_range(0..60) {
+            0 => {
                 self.version += 1;
                 let version = self.version;
                 self.harness.rollout(RolloutCommand::Version { version });
             }
-            2..6 => self.run_attempt(),
-            6 | 7 => self.finish_attempt(),
-            8 | 9 => self.fetch(),
-            10 => self.acknowledge(),
+            1..4 => self.submit(),
+            4..24 => self.run_attempt(),
+            24..44 => self.finish_attempt(),
+            44..54 => self.fetch(),
+            54..58 => self.acknowledge(),
             _ => self.lose(),
         }
     }
 
     fn submit(&mut self) {
-        // Some are submitted again, after a lost answer.
+        // Some are submitted again after a lost answer, also when they are long done.
         let again = self.random.random_ratio(1, 3) && self.next_group > 0;
-        if !again {
-            self.next_group += 1;
-        }
-        let groups = vec![group(self.next_group)];
+        let id = match again {
+            true => self.random.random_range(1..=self.next_group),
+            false => {
+                self.next_group += 1;
+                self.next_group
+            }
+        };
+        let groups = vec![group(id)];
         let outcome = self.harness.rollout(RolloutCommand::Submit { groups });
         assert_eq!(outcome, RolloutOutcome::Done {});
     }
@@ -416,7 +420,11 @@
         if self.made.is_empty() {
             return;
         }
-        let place = self.random.random_range(0..self.made.len());
+        let oldest = match self.random.random_ratio(1, 5) {
+            true => 0,
+            false => self.made.len().saturating_sub(12),
+        };
+        let place = self.random.random_range(oldest..self.made.len());
         let made = self.made[place].clone();
         let command = RolloutCommand::Finish {
             sample: made.sample,
@@ -541,11 +549,13 @@
 
 #[test]
 fn every_sample_is_delivered_once_fresh_and_as_made() {
+    let mut used_under_way = 0;
     for seed in 0..400 {
         let mut harness = RolloutHarness::new(seed);
-        for _ in 0..400 {
+        for _ in 0..600 {
             harness.step();
         }
+        used_under_way += harness.used.len();
         let delivered = harness.finish();
         assert_eq!(
             delivered as u64,
@@ -556,6 +566,10 @@
         let charged: u64 = usage.open.values().map(|it| it.samples).sum();
         assert_eq!(charged, delivered as u64, "seed {seed}: charged once");
     }
+    assert!(
+        used_under_way > 4_000,
+        "{used_under_way} used under way are too few"
+    );
 }
 
 #[test]
--- a/crates/policy/src/fair.rs
+++ b/crates/policy/src/fair.rs
@@ -51,6 +51,23 @@
 }
 
 impl<T> RankQueue<T> {
+    /// Returns a customer's queue; `enqueue` gives a new one its place in the turn.
+    fn customer(
+        &mut self,
+        customer: u32,
+        weight: u32,
+        enqueue: fn(&mut VecDeque<u32>, u32),
+    ) -> &mut CustomerQueue<T> {
+        self.customers.entry(customer).or_insert_with(|| {
+            enqueue(&mut self.turn, customer);
+            CustomerQueue {
+                weight: weight.max(1),
+                deficit: 0,
+                entries: VecDeque::new(),
+            }
+        })
+    }
+
     fn pop(&mut self) -> Option<T> {
         loop {
             let customer = *self.turn.front()?;
@@ -107,6 +124,13 @@
         }
     }
 
+    fn ranked(&mut self, rank: RequestRank) -> &mut RankQueue<T> {
+        match rank {
+            RequestRank::Lookup => &mut self.lookups,
+            RequestRank::Rollout => &mut self.rollouts,
+        }
+    }
+
     /// Returns the number of requests that wait.
     pub fn len(&self) -> usize {
         self.len
@@ -130,19 +154,11 @@
         deadline: ClockTime,
         item: T,
     ) -> Result<(), (QueueRefusal, T)> {
-        let ranked = match rank {
-            RequestRank::Lookup => &mut self.lookups,
-            RequestRank::Rollout => &mut self.rollouts,
-        };
-        let queue = ranked.customers.entry(customer).or_insert_with(|| {
-            ranked.turn.push_back(customer);
-            CustomerQueue {
-                weight: weight.max(1),
-                deficit: 0,
-                entries: VecDeque::new(),
-            }
-        });
-        if queue.entries.len() >= self.per_customer {
+        let per_customer = self.per_customer;
+        let queue = self
+            .ranked(rank)
+            .customer(customer, weight, VecDeque::push_back);
+        if queue.entries.len() >= per_customer {
             return Err((QueueRefusal::Full, item));
         }
         queue.entries.push_back(QueueEntry { deadline, item });
@@ -159,18 +175,9 @@
         deadline: ClockTime,
         item: T,
     ) {
-        let ranked = match rank {
-            RequestRank::Lookup => &mut self.lookups,
-            RequestRank::Rollout => &mut self.rollouts,
-        };
-        let queue = ranked.customers.entry(customer).or_insert_with(|| {
-            ranked.turn.push_front(customer);
-            CustomerQueue {
-                weight: weight.max(1),
-                deficit: 0,
-                entries: VecDeque::new(),
-            }
-        });
+        let queue = self
+            .ranked(rank)
+            .customer(customer, weight, VecDeque::push_front);
         queue.deficit += 1;
         queue.entries.push_front(QueueEntry { deadline, item });
         self.len += 1;
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -111,7 +111,7 @@
   for n in $(seq 2 $((changes + 1))); do
     local verb=pull
     [ $((n % 2)) = 1 ] && verb=restore
-    printf 'url = "http://127.0.0.1:%s/v1/zones/cai-b/%s?number=%s"\nrequest = "POST"\nheader = "authorization: Bearer %s"\noutput = "/dev/null"\nfail\n' \
+    printf 'url = "http://127.0.0.1:%s/v1/zones/cai-b/%s?number=%s"\nrequest = "POST"\nheader = "authorization: Bearer %s"\noutput = "/dev/null"\nfail\nnext\n' \
       "$(operators 1)" "$verb" "$n" "$key"
   done >"$work/changes"
   curl -sS -K "$work/changes"
