Ask less often when idle, and measure what an entry costs its leader

Cause: an idle leader of nine entries sent 7,720 B/s, over the 5 KB/s that control may cost (scripts/measure.sh control). Each entry asked four times a second although only usage needs that.

Ruled out: fewer heartbeats, which would lengthen the time to a new leader; a longer freshness window, which is the promise about withdrawn keys.

Change: without usage to ship and without hurry a question is asked every 500 ms, still four in a freshness window. The hub and the sample store name their types instead of boxing functions. scripts/measure.sh separates the requests of a curl run and measures the slope over 3, 12, 24 and 40 entries.

--- a/crates/daemon/src/control/follow.rs
+++ b/crates/daemon/src/control/follow.rs
@@ -28,9 +28,12 @@
 use bergamotlane_wire::peer::TargetFrame;
 use bergamotlane_wire::peer::ViewFrame;
 
-/// Time between two questions to the leader, in milliseconds.
+/// Time between two questions to the leader while there is usage to ship, in milliseconds.
 const ASK_INTERVAL_MS: u64 = 250;
 
+/// Time between two questions to the leader otherwise, in milliseconds.
+const IDLE_ASK_INTERVAL_MS: u64 = 500;
+
 /// Shortest time between two questions, in milliseconds.
 const ASK_PAUSE_MS: u64 = 5;
 
@@ -62,6 +65,8 @@
     asked_at: ClockTime,
     answered_at: ClockTime,
     due: ClockTime,
+    /// Whether an answer is wanted as soon as possible.
+    hurried: bool,
     /// Rises to try one instance after the other while no leader is known.
     attempt: usize,
 }
@@ -80,12 +85,14 @@
             asked_at: ClockTime::default(),
             answered_at: time,
             due: time,
+            hurried: false,
             attempt: 0,
         }
     }
 
     /// Asks as soon as possible.
     pub(super) fn hurry(&mut self) {
+        self.hurried = true;
         self.due = self.asked_at + ASK_PAUSE_MS;
     }
 
@@ -111,6 +118,14 @@
         if time < self.follow.due {
             return;
         }
+        self.gather_usage();
+        let elapsed = time.since(self.follow.asked_at);
+        let early = (ASK_INTERVAL_MS..IDLE_ASK_INTERVAL_MS).contains(&elapsed);
+        if early && !self.follow.hurried && self.meter.is_settled() {
+            self.follow.due = self.follow.asked_at + IDLE_ASK_INTERVAL_MS;
+            return;
+        }
+        self.follow.hurried = false;
         self.follow.due = time + ASK_INTERVAL_MS;
         let silent = time.since(self.follow.answered_at) > ANSWER_LIMIT_MS;
         if self.leads() {
@@ -157,7 +172,6 @@
     fn build_ask(&mut self, time: ClockTime) -> AskFrame {
         self.follow.sequence += 1;
         self.follow.asked_at = time;
-        self.gather_usage();
         let usage = self.meter.ship().map(|(sequence, deltas)| {
             let deltas = deltas.iter().map(UsageDeltaWire::from).collect();
             (sequence, deltas)
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -19,6 +19,7 @@
 use tokio::sync::oneshot;
 
 use crate::peers::PeerEvent;
+use crate::peers::PeerObserver;
 use bergamotlane_policy::control::ControlCommand;
 use bergamotlane_policy::control::ControlOutcome;
 use bergamotlane_policy::control::OrderKey;
@@ -118,6 +119,12 @@
     nudge: Arc<Notify>,
 }
 
+impl PeerObserver for ControlHandle {
+    fn observe(&self, event: PeerEvent) {
+        self.send(ControlInput::Peer(event));
+    }
+}
+
 impl ControlHandle {
     /// Creates a handle and the receiving end for the control thread.
     pub fn new() -> (Self, mpsc::UnboundedReceiver<ControlInput>) {
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -48,7 +48,7 @@
 const INPUT_BATCH: usize = 512;
 
 /// The hub as the control thread uses it.
-pub type ControlHub = PeerHub<Box<dyn Fn(PeerEvent) + Send + Sync>>;
+pub type ControlHub = PeerHub<ControlHandle>;
 
 /// Who waits for the result of a command.
 #[derive(Debug)]
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -147,15 +147,13 @@
     let local = LocalHello::new(hello.clone(), config.cluster_key.clone());
     let shared = TrafficShared::new(DaemonMetrics::new());
     let (handle, inputs) = ControlHandle::new();
-    let events = handle.clone();
     let hub: Arc<ControlHub> = PeerHub::new(
         local.clone(),
         config.peers,
         shared.metrics.control_bytes.clone(),
-        Box::new(move |event| events.send(ControlInput::Peer(event))),
+        handle.clone(),
     );
-    let sender = Arc::clone(&hub);
-    let samples = SampleStore::new(Box::new(move |run, frame| sender.send(run, frame)));
+    let samples = SampleStore::new(Arc::clone(&hub));
     let client = reqwest::Client::builder()
         .connect_timeout(CONNECT_LIMIT)
         .pool_idle_timeout(POOL_IDLE)
--- a/crates/daemon/src/peers/hub.rs
+++ b/crates/daemon/src/peers/hub.rs
@@ -54,32 +54,35 @@
     next_link: u64,
 }
 
+/// Takes events of connections.
+pub trait PeerObserver: Send + Sync + 'static {
+    /// Takes an event.
+    fn observe(&self, event: PeerEvent);
+}
+
 /// All connections to other daemons.
-pub struct PeerHub<F> {
+pub struct PeerHub<O> {
     local: LocalHello,
     own_address: SocketAddr,
     state: Mutex<HubState>,
     sent_bytes: IntCounter,
-    notify: F,
+    observer: O,
 }
 
-impl<F> PeerHub<F>
-where
-    F: Fn(PeerEvent) + Send + Sync + 'static,
-{
-    /// Creates a hub that reports events by `notify` and counts what it sends.
+impl<O: PeerObserver> PeerHub<O> {
+    /// Creates a hub that reports events to `observer` and counts what it sends.
     pub fn new(
         local: LocalHello,
         own_address: SocketAddr,
         sent_bytes: IntCounter,
-        notify: F,
+        observer: O,
     ) -> Arc<Self> {
         Arc::new(Self {
             local,
             own_address,
             state: Mutex::new(HubState::default()),
             sent_bytes,
-            notify,
+            observer,
         })
     }
 
@@ -179,14 +182,14 @@
         let name = hello.name.clone();
         let (sender, outbound) = mpsc::unbounded_channel();
         let link = self.add_link(run, sender);
-        (self.notify)(PeerEvent::Up(hello));
+        self.observer.observe(PeerEvent::Up(hello));
         let error = run_link(stream, outbound, &self.sent_bytes, |frame| {
-            (self.notify)(PeerEvent::Frame(run, frame));
+            self.observer.observe(PeerEvent::Frame(run, frame));
         })
         .await;
         spdlog::info!("peer: Connection to {name} ended: {error}.");
         if self.remove_link(run, link) {
-            (self.notify)(PeerEvent::Down(run));
+            self.observer.observe(PeerEvent::Down(run));
         }
     }
 
--- a/crates/daemon/src/peers/mod.rs
+++ b/crates/daemon/src/peers/mod.rs
@@ -10,3 +10,4 @@
 pub use handshake::LocalHello;
 pub use hub::PeerEvent;
 pub use hub::PeerHub;
+pub use hub::PeerObserver;
--- a/crates/daemon/src/samples.rs
+++ b/crates/daemon/src/samples.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 
 use crate::clock::now;
+use crate::control::ControlHub;
 use crate::control::answer;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::ident::RunId;
@@ -30,9 +31,6 @@
 /// milliseconds.
 const YOUNG_MS: u64 = 60_000;
 
-/// Sends a frame to a run; returns whether there is a connection.
-pub type FrameSender = Box<dyn Fn(RunId, PeerFrame) -> bool + Send + Sync>;
-
 #[derive(Debug)]
 struct HeldSample {
     sample: StoredSample,
@@ -50,16 +48,16 @@
 pub struct SampleStore {
     state: Mutex<StoreState>,
     next_nonce: AtomicU64,
-    send: FrameSender,
+    hub: Arc<ControlHub>,
 }
 
 impl SampleStore {
     /// Creates an empty store.
-    pub fn new(send: FrameSender) -> Arc<Self> {
+    pub fn new(hub: Arc<ControlHub>) -> Arc<Self> {
         Arc::new(Self {
             state: Mutex::default(),
             next_nonce: AtomicU64::new(1),
-            send,
+            hub,
         })
     }
 
@@ -119,7 +117,7 @@
         let nonce = self.nonce();
         let (reply, answer) = oneshot::channel();
         self.state().storing.insert(nonce, reply);
-        let sent = (self.send)(run, PeerFrame::StoreSample { nonce, sample });
+        let sent = self.hub.send(run, PeerFrame::StoreSample { nonce, sample });
         let stored = sent && matches!(timeout(ANSWER_LIMIT, answer).await, Ok(Ok(())));
         self.state().storing.remove(&nonce);
         stored
@@ -151,7 +149,7 @@
                 nonce,
                 attempt: attempt.clone(),
             };
-            let answer = match (self.send)(*holder, frame) {
+            let answer = match self.hub.send(*holder, frame) {
                 true => timeout(ANSWER_LIMIT, answer).await.ok(),
                 false => None,
             };
--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Measures the path with real processes on one machine and prints one JSON line a figure.
 # Takes about two minutes after the build and ends only the processes that it started.
-# Usage: scripts/measure.sh [path|failover|force|restart|control]...
+# Usage: scripts/measure.sh [path|failover|force|restart|control|slope]...
 set -euo pipefail
 declare -a daemon_pid
 cd "$(dirname "$0")/.."
@@ -111,7 +111,8 @@
   for n in $(seq 2 $((changes + 1))); do
     local verb=pull
     [ $((n % 2)) = 1 ] && verb=restore
-    printf 'url = "http://127.0.0.1:%s/v1/zones/cai-b/%s?number=%s"\nrequest = "POST"\nheader = "authorization: Bearer %s"\noutput = "/dev/null"\nfail\nnext\n' \
+    [ "$n" -gt 2 ] && echo next
+    printf 'url = "http://127.0.0.1:%s/v1/zones/cai-b/%s?number=%s"\nrequest = "POST"\nheader = "authorization: Bearer %s"\noutput = "/dev/null"\nfail\n' \
       "$(operators 1)" "$verb" "$n" "$key"
   done >"$work/changes"
   curl -sS -K "$work/changes"
@@ -134,18 +135,18 @@
   end
 }
 
-# control_cost NAME SECONDS: processor time, memory and bytes for control per daemon.
+# control_cost NAME SECONDS COUNT: processor time, memory and bytes for control per daemon.
 control_cost() {
-  local name=$1 seconds=$2 n hz
+  local name=$1 seconds=$2 count=$3 n hz
   hz=$(getconf CLK_TCK)
   local -a cpu bytes
-  for n in $(seq 1 9); do
+  for n in $(seq 1 "$count"); do
     cpu[$n]=$(awk '{print $14 + $15}' "/proc/${daemon_pid[$n]}/stat")
     bytes[$n]=$(curl -sS "http://127.0.0.1:$(operators "$n")/metrics" | awk '/^bergamotlane_control_bytes_total/ {print $2}')
   done
   sleep "$seconds"
   local most_cpu=0 most_bytes=0 most_rss=0 all_bytes=0
-  for n in $(seq 1 9); do
+  for n in $(seq 1 "$count"); do
     local c b r
     c=$(awk -v a="${cpu[$n]}" -v hz="$hz" -v s="$seconds" '{printf "%.2f", ($14 + $15 - a) * 100 / hz / s}' "/proc/${daemon_pid[$n]}/stat")
     b=$(curl -sS "http://127.0.0.1:$(operators "$n")/metrics" | awk -v a="${bytes[$n]}" -v s="$seconds" '/^bergamotlane_control_bytes_total/ {printf "%d", ($2 - a) / s}')
@@ -157,23 +158,34 @@
   done
   figure "control_cpu_most_$name" "$most_cpu" "% of a core"
   figure "control_bytes_most_$name" "$most_bytes" "B/s"
-  figure "control_bytes_mean_$name" $((all_bytes / 9)) "B/s"
+  figure "control_bytes_mean_$name" $((all_bytes / count)) "B/s"
   figure "memory_most_$name" "$most_rss" MB
 }
 
 measure_control() {
   begin 9
   sleep 5
-  control_cost idle 10
+  control_cost idle 10 9
   (for n in $(seq 1 40); do
     verb=pull
     [ $((n % 2)) = 0 ] && verb=restore
     operate 1 zone "$verb" cai-b >/dev/null
     sleep 0.2
   done) &
-  control_cost changes 8
+  control_cost changes 8 9
   wait $!
   end
 }
 
+# How the cost of control grows with the number of entries.
+measure_slope() {
+  local count
+  for count in 3 12 24 40; do
+    begin "$count"
+    sleep 4
+    control_cost "entries_$count" 6 "$count"
+    end
+  done
+}
+
 for what in ${@:-path failover force restart control}; do "measure_$what"; done
