Complete the stand-ins, and use plain words for names

Found: a stand-in that ends its stream right after the first half never sends the head, so that the entry asks another target and the caller gets a whole answer. The case lookup_truncate failed first for that ("answered" only). The stand-in now waits 100 ms between the half and the cut.

Ruled out: a fault of the entry; a cut after the head breaks the caller's connection, as the case shows now.

Change: truncation and wrong bodies in the plain stand-in, priority in the engine's, two cases in the table of faults, names.

--- a/crates/coordination/examples/embed.rs
+++ b/crates/coordination/examples/embed.rs
@@ -23,7 +23,7 @@
 use bergamotlane_coordination::consensus::VoteRecord;
 use bergamotlane_coordination::ident::NodeId;
 
-struct Letter {
+struct Envelope {
     from: NodeId,
     to: NodeId,
     message: ConsensusMessage,
@@ -34,12 +34,12 @@
     node: &mut ConsensusNode,
     clock: &ManualClock,
     outputs: Vec<ConsensusOutput>,
-    post: &mut VecDeque<Letter>,
+    outbox: &mut VecDeque<Envelope>,
 ) {
     let mut outputs = VecDeque::from(outputs);
     while let Some(output) = outputs.pop_front() {
         match output {
-            ConsensusOutput::Send { to, message } => post.push_back(Letter {
+            ConsensusOutput::Send { to, message } => outbox.push_back(Envelope {
                 from: node.id(),
                 to,
                 message,
@@ -89,7 +89,7 @@
             (NodeId(id), node)
         })
         .collect();
-    let mut post = VecDeque::new();
+    let mut outbox = VecDeque::new();
     let mut proposed = false;
     for _ in 0..300 {
         clock.advance(10);
@@ -102,13 +102,13 @@
                 println!("{} leads and proposes at {index:?}", node.id());
                 proposed = true;
             }
-            carry_out(node, &clock, outputs, &mut post);
+            carry_out(node, &clock, outputs, &mut outbox);
         }
-        while let Some(letter) = post.pop_front() {
-            if let Some(node) = nodes.get_mut(&letter.to) {
+        while let Some(envelope) = outbox.pop_front() {
+            if let Some(node) = nodes.get_mut(&envelope.to) {
                 let mut outputs = Vec::new();
-                node.receive(clock.now(), letter.from, letter.message, &mut outputs);
-                carry_out(node, &clock, outputs, &mut post);
+                node.receive(clock.now(), envelope.from, envelope.message, &mut outputs);
+                carry_out(node, &clock, outputs, &mut outbox);
             }
         }
     }
--- a/crates/daemon/src/control/follow.rs
+++ b/crates/daemon/src/control/follow.rs
@@ -66,7 +66,7 @@
     answered_at: ClockTime,
     due: ClockTime,
     /// Whether an answer is wanted as soon as possible.
-    hurried: bool,
+    urgent: bool,
     /// Rises to try one instance after the other while no leader is known.
     attempt: usize,
 }
@@ -85,14 +85,14 @@
             asked_at: ClockTime::default(),
             answered_at: time,
             due: time,
-            hurried: false,
+            urgent: false,
             attempt: 0,
         }
     }
 
     /// Asks as soon as possible.
-    pub(super) fn hurry(&mut self) {
-        self.hurried = true;
+    pub(super) fn ask_now(&mut self) {
+        self.urgent = true;
         self.due = self.asked_at + ASK_PAUSE_MS;
     }
 
@@ -100,7 +100,7 @@
     pub(super) fn lost(&mut self, run: RunId) {
         if self.leader == Some(run) {
             self.leader = None;
-            self.hurry();
+            self.ask_now();
         }
     }
 
@@ -108,7 +108,7 @@
     pub(super) fn redirect(&mut self, from: RunId, hint: Option<RunId>) {
         if self.leader == Some(from) || self.leader.is_none() {
             self.leader = hint.filter(|it| *it != from);
-            self.hurry();
+            self.ask_now();
         }
     }
 }
@@ -121,11 +121,11 @@
         self.gather_usage();
         let elapsed = time.since(self.follow.asked_at);
         let early = (ASK_INTERVAL_MS..IDLE_ASK_INTERVAL_MS).contains(&elapsed);
-        if early && !self.follow.hurried && self.meter.is_settled() {
+        if early && !self.follow.urgent && self.meter.is_settled() {
             self.follow.due = self.follow.asked_at + IDLE_ASK_INTERVAL_MS;
             return;
         }
-        self.follow.hurried = false;
+        self.follow.urgent = false;
         self.follow.due = time + ASK_INTERVAL_MS;
         let silent = time.since(self.follow.answered_at) > ANSWER_LIMIT_MS;
         if self.leads() {
@@ -205,7 +205,7 @@
             let was_fresh = self.follow.freshness.is_fresh(time);
             let counted = self.follow.freshness.confirm(asked_at, commit, applied);
             if !counted {
-                self.follow.hurry();
+                self.follow.ask_now();
             }
             if counted && !was_fresh {
                 spdlog::info!("follow: View is confirmed at index {applied}.");
@@ -236,7 +236,7 @@
         self.take_shares(view.shares);
         // The leader learns sooner that a change is in force here.
         if self.state.index > before && self.publish.changed {
-            self.follow.hurry();
+            self.follow.ask_now();
         }
     }
 
--- a/crates/daemon/src/control/lead.rs
+++ b/crates/daemon/src/control/lead.rs
@@ -112,7 +112,7 @@
             reporting_until: time,
             formed_proposed: false,
         });
-        self.follow.hurry();
+        self.follow.ask_now();
     }
 
     pub(super) fn end_lead(&mut self) {
@@ -143,7 +143,7 @@
         for run in self.peers.keys() {
             self.send(*run, PeerFrame::Advance(index));
         }
-        self.follow.hurry();
+        self.follow.ask_now();
     }
 
     pub(super) fn in_force(&self, index: u64) -> Option<bool> {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -116,7 +116,7 @@
 #[derive(Debug, Clone)]
 pub struct ControlHandle {
     inputs: mpsc::UnboundedSender<ControlInput>,
-    nudge: Arc<Notify>,
+    wakeup: Arc<Notify>,
 }
 
 impl PeerObserver for ControlHandle {
@@ -129,13 +129,13 @@
     /// Creates a handle and the receiving end for the control thread.
     pub fn new() -> (Self, mpsc::UnboundedReceiver<ControlInput>) {
         let (inputs, receiver) = mpsc::unbounded_channel();
-        let nudge = Arc::new(Notify::new());
-        (Self { inputs, nudge }, receiver)
+        let wakeup = Arc::new(Notify::new());
+        (Self { inputs, wakeup }, receiver)
     }
 
     /// Returns what tells the control thread that requests wait for slots.
-    pub fn nudge(&self) -> Arc<Notify> {
-        Arc::clone(&self.nudge)
+    pub fn wakeup(&self) -> Arc<Notify> {
+        Arc::clone(&self.wakeup)
     }
 
     /// Sends an input.
--- a/crates/daemon/src/control/publish.rs
+++ b/crates/daemon/src/control/publish.rs
@@ -196,7 +196,7 @@
             choosers.entry(service.clone()).or_default().insert(target);
         }
         if unknown {
-            self.follow.hurry();
+            self.follow.ask_now();
         }
         choosers
     }
@@ -267,7 +267,7 @@
             return Arc::clone(gate);
         }
         let _runtime = self.runtime.enter();
-        let gate = ServiceGate::start(service, &self.shared, self.handle.nudge());
+        let gate = ServiceGate::start(service, &self.shared, self.handle.wakeup());
         self.publish
             .gates
             .insert(service.to_owned(), Arc::clone(&gate));
--- a/crates/daemon/src/control/thread.rs
+++ b/crates/daemon/src/control/thread.rs
@@ -137,7 +137,7 @@
 
 /// Runs the control thread until all handles are gone.
 pub async fn run_control(start: ControlStart, mut inputs: mpsc::UnboundedReceiver<ControlInput>) {
-    let nudge = start.handle.nudge();
+    let wakeup = start.handle.wakeup();
     let mut core = ControlCore::new(start);
     let mut tick = interval(TICK);
     tick.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Skip);
@@ -147,8 +147,8 @@
                 Some(input) => Some(input),
                 None => return,
             },
-            () = nudge.notified() => {
-                core.follow.hurry();
+            () = wakeup.notified() => {
+                core.follow.ask_now();
                 None
             }
             _ = tick.tick() => None,
@@ -274,7 +274,7 @@
                 }
                 spdlog::info!("peer: Connected to {} in {}.", hello.name, hello.zone);
                 self.peers.insert(RunId(hello.run), hello);
-                self.follow.hurry();
+                self.follow.ask_now();
             }
             PeerEvent::Down(run) => {
                 self.peers.remove(&run);
@@ -291,7 +291,7 @@
             PeerFrame::Ask(ask) => self.on_ask(from, ask),
             PeerFrame::View(view) => self.on_view(*view),
             PeerFrame::NotLeader(hint) => self.follow.redirect(from, hint.map(RunId)),
-            PeerFrame::Advance(_) => self.follow.hurry(),
+            PeerFrame::Advance(_) => self.follow.ask_now(),
             PeerFrame::Submit { nonce, command } => self.on_submit(from, nonce, command),
             PeerFrame::Submitted { nonce, result } => self.on_submitted(nonce, result),
             PeerFrame::Announce(announcements) => self.on_announce_frame(announcements),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -64,7 +64,7 @@
 const SHUTDOWN_PAUSE: Duration = Duration::from_millis(20);
 
 /// Time for the leader to hear that this instance finishes up, and for a lead to pass on.
-const FAREWELL: Duration = Duration::from_millis(500);
+const LEAVE_PAUSE: Duration = Duration::from_millis(500);
 
 /// Why the daemon could not run.
 #[derive(Debug, Error)]
@@ -218,11 +218,11 @@
     sleep(Duration::from_millis(config.drain_ms)).await;
     callers.finish(FINISH_LIMIT).await;
     finish_requests(&shared).await;
-    targets.finish(FAREWELL).await;
+    targets.finish(LEAVE_PAUSE).await;
     settle(&handle).await;
     handle.send(ControlInput::PassLead);
-    sleep(FAREWELL).await;
-    operators.finish(FAREWELL).await;
+    sleep(LEAVE_PAUSE).await;
+    operators.finish(LEAVE_PAUSE).await;
     spdlog::info!("daemon: Has shut down.");
     Ok(())
 }
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -96,14 +96,14 @@
     rollouts: AtomicU32,
     wake: Notify,
     queue: mpsc::UnboundedSender<WaitingRequest>,
-    nudge: Arc<Notify>,
+    wakeup: Arc<Notify>,
 }
 
 impl ServiceGate {
     /// Starts a gate for `service`; must be called within the runtime.
     ///
-    /// `nudge` tells the control thread that requests wait for slots.
-    pub fn start(service: &str, shared: &Arc<TrafficShared>, nudge: Arc<Notify>) -> Arc<Self> {
+    /// `wakeup` tells the control thread that requests wait for slots.
+    pub fn start(service: &str, shared: &Arc<TrafficShared>, wakeup: Arc<Notify>) -> Arc<Self> {
         let (queue, requests) = mpsc::unbounded_channel();
         let gate = Arc::new(Self {
             waiting: AtomicU32::new(0),
@@ -111,7 +111,7 @@
             rollouts: AtomicU32::new(0),
             wake: Notify::new(),
             queue,
-            nudge,
+            wakeup,
         });
         let worker = GateWorker {
             service: service.into(),
@@ -178,7 +178,7 @@
             self.waiting.fetch_sub(1, Ordering::Relaxed);
             return Err(GateRefusal::NoTarget);
         }
-        self.nudge.notify_one();
+        self.wakeup.notify_one();
         let answer = answer.await;
         answer.unwrap_or(Err(GateRefusal::NoTarget))
     }
--- a/crates/daemon/tests/processes/faults.rs
+++ b/crates/daemon/tests/processes/faults.rs
@@ -23,6 +23,7 @@
     let body = response.bytes().await;
     match (status, run) {
         (200, None) if body.is_ok() => "answered".to_owned(),
+        (200, None) => "cut".to_owned(),
         (status, Some(run)) => format!("{status} {run}"),
         (status, None) => format!("{status}"),
     }
@@ -33,6 +34,8 @@
 #[case::lookup_silent("proof-desk", "silent", &["answered"])]
 #[case::lookup_late("proof-desk", "late", &["answered"])]
 #[case::lookup_error("proof-desk", "error", &["answered", "500"])]
+#[case::lookup_truncate("proof-desk", "truncate", &["answered", "cut"])]
+#[case::unrepeatable_truncate("strike-ledger", "truncate", &["answered", "502 may-have-run"])]
 #[case::unrepeatable_crash("strike-ledger", "crash", &["answered", "502 may-have-run"])]
 #[case::unrepeatable_silent("strike-ledger", "silent", &["answered", "504 may-have-run"])]
 #[case::unrepeatable_late("strike-ledger", "late", &["answered"])]
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -71,6 +71,8 @@
     version: AtomicU64,
     fence: AtomicU64,
     in_flight: AtomicU32,
+    /// Requests in progress with the highest priority, zero.
+    urgent: AtomicU32,
     max_cold_load: AtomicU32,
     overloads: AtomicU32,
     served: AtomicU64,
@@ -88,6 +90,7 @@
             version: AtomicU64::new(1),
             fence: AtomicU64::new(0),
             in_flight: AtomicU32::new(0),
+            urgent: AtomicU32::new(0),
             max_cold_load: AtomicU32::new(0),
             overloads: AtomicU32::new(0),
             served: AtomicU64::new(0),
@@ -110,7 +113,9 @@
         }
     }
 
-    fn begin(self: &Arc<Self>) -> LoadGuard {
+    fn begin(self: &Arc<Self>, priority: u32) -> LoadGuard {
+        let urgent = priority == 0;
+        self.urgent.fetch_add(u32::from(urgent), Ordering::Relaxed);
         let load = self.in_flight.fetch_add(1, Ordering::Relaxed) + 1;
         if !self.is_warm() {
             self.max_cold_load.fetch_max(load, Ordering::Relaxed);
@@ -120,6 +125,7 @@
         }
         LoadGuard {
             state: Arc::clone(self),
+            urgent,
         }
     }
 }
@@ -127,11 +133,23 @@
 /// A request in progress.
 struct LoadGuard {
     state: Arc<EngineState>,
+    urgent: bool,
+}
+
+impl LoadGuard {
+    /// Returns by what the making of a token slows down: what has a lower priority gives
+    /// way to what has the highest.
+    fn slow_down(&self) -> u32 {
+        let gives_way = !self.urgent && self.state.urgent.load(Ordering::Relaxed) > 0;
+        if gives_way { 2 } else { 1 }
+    }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
         self.state.in_flight.fetch_sub(1, Ordering::Relaxed);
+        let urgent = u32::from(self.urgent);
+        self.state.urgent.fetch_sub(urgent, Ordering::Relaxed);
     }
 }
 
@@ -151,6 +169,8 @@
     max_tokens: Option<u32>,
     seed: Option<u64>,
     #[serde(default)]
+    priority: u32,
+    #[serde(default)]
     resume: Vec<String>,
 }
 
@@ -246,7 +266,7 @@
         reply::write(res, StatusCode::BAD_REQUEST, &json!({}));
         return;
     };
-    let guard = state.begin();
+    let guard = state.begin(order.priority);
     let kinds = [
         FaultKind::Crash,
         FaultKind::Stall,
@@ -305,7 +325,7 @@
 impl TokenMaking {
     async fn next(mut self) -> Option<MadeEvent> {
         if !self.pause.is_zero() {
-            sleep(self.pause).await;
+            sleep(self.pause * self.guard.slow_down()).await;
         }
         if self.next == self.first + FAULT_TOKEN {
             match self.fault {
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -9,11 +9,15 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
+use futures_util::StreamExt;
+use futures_util::stream;
 use salvo::Depot;
 use salvo::FlowCtrl;
 use salvo::Handler;
 use salvo::Request;
 use salvo::Response;
+use salvo::http::ResBody;
 use salvo::http::StatusCode;
 use serde_json::Value;
 use serde_json::json;
@@ -28,6 +32,9 @@
 /// Time for which a stalled or silent answer stays open.
 const STALL: Duration = Duration::from_secs(600);
 
+/// Time between the first half of a cut answer and the cut.
+const CUT_PAUSE: Duration = Duration::from_millis(100);
+
 /// State of a plain service.
 #[derive(Debug, Default)]
 pub struct PlainState {
@@ -129,6 +136,8 @@
         FaultKind::Silent,
         FaultKind::Late,
         FaultKind::Error,
+        FaultKind::Truncate,
+        FaultKind::Wrong,
     ];
     let fault = state.faults.take(&kinds);
     match fault {
@@ -148,5 +157,18 @@
     };
     let query = req.uri().query().unwrap_or_default();
     let body = json!({ "path": path, "query": query, "served": served, "request_id": id });
-    reply::write(res, status, &body);
+    match fault {
+        Some(FaultKind::Truncate) => {
+            let half = Bytes::from_static(b"{\"path\":");
+            let rest = stream::once(async {
+                // The first half is on its way before the end comes.
+                sleep(CUT_PAUSE).await;
+                Err(std::io::Error::other("cut off on request"))
+            });
+            let body = stream::once(async { Ok(half) }).chain(rest);
+            res.replace_body(ResBody::stream(body));
+        }
+        Some(FaultKind::Wrong) => reply::write(res, status, &json!({ "wrong": true })),
+        _ => reply::write(res, status, &body),
+    }
 }
