Keep removed members out, and share constants

Cause: the repair took a member that an operator had just removed for the best spare, since it was alive and its zone then had the fewest voters, and put it back.

Found by: daemon::a_member_is_removed_and_the_spare_takes_its_place, which failed first ("gave up waiting until another voter takes the place", 60 s).

Ruled out: remembering it on the leader only; the next leader would bring it back.

Change: the membership carries the nodes that operators barred; instance add lifts that. Constants that had come to stand twice when files were split stand once.

--- a/crates/coordination/examples/embed.rs
+++ b/crates/coordination/examples/embed.rs
@@ -4,6 +4,7 @@
 //! `is_durable` names before it acts on what follows.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::VecDeque;
 
 use bytes::Bytes;
@@ -70,6 +71,7 @@
     let membership = GroupMembership {
         voters: (1..=3).map(|id| (NodeId(id), record(id))).collect(),
         learners: BTreeMap::new(),
+        barred: BTreeSet::new(),
     };
     let snapshot = LogSnapshot {
         index: 1,
--- a/crates/coordination/src/clock.rs
+++ b/crates/coordination/src/clock.rs
@@ -4,6 +4,9 @@
 use std::ops::Add;
 use std::ops::Sub;
 
+/// Parts per thousand by which two clocks may run apart.
+pub const DRIFT_ALLOWANCE_PER_MILLE: u64 = 10;
+
 /// A point in time in milliseconds since an origin that the clock fixes.
 ///
 /// Times of different machines can't be compared.
--- a/crates/coordination/src/consensus/membership.rs
+++ b/crates/coordination/src/consensus/membership.rs
@@ -1,6 +1,7 @@
 //! Who belongs to the group.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::ident::NodeId;
 
@@ -22,6 +23,8 @@
     pub voters: BTreeMap<NodeId, MemberRecord>,
     /// Members that receive the log only.
     pub learners: BTreeMap<NodeId, MemberRecord>,
+    /// Nodes that an operator removed; no repair brings them back.
+    pub barred: BTreeSet<NodeId>,
 }
 
 impl GroupMembership {
@@ -52,6 +55,7 @@
     pub fn with_learner(&self, node: NodeId, record: MemberRecord) -> Self {
         let mut membership = self.clone();
         membership.learners.insert(node, record);
+        membership.barred.remove(&node);
         membership
     }
 
@@ -71,6 +75,13 @@
         membership
     }
 
+    /// Returns a copy without `node`, which no repair brings back.
+    pub fn barring(&self, node: NodeId) -> Self {
+        let mut membership = self.without(node);
+        membership.barred.insert(node);
+        membership
+    }
+
     /// Returns whether the voters of `next` differ from these by one at most.
     pub fn is_single_step(&self, next: &Self) -> bool {
         let added = next.voters.keys().filter(|it| !self.is_voter(**it)).count();
--- a/crates/coordination/src/consensus/node.rs
+++ b/crates/coordination/src/consensus/node.rs
@@ -21,11 +21,9 @@
 use super::role::role_chart;
 use crate::chart::StateChart;
 use crate::clock::ClockTime;
+use crate::clock::DRIFT_ALLOWANCE_PER_MILLE;
 use crate::ident::NodeId;
 
-/// Parts per thousand by which two clocks may run apart.
-const DRIFT_ALLOWANCE_PER_MILLE: u64 = 10;
-
 /// Timings of a node, in milliseconds.
 #[derive(Debug, Clone, Copy)]
 pub struct ConsensusConfig {
--- a/crates/coordination/src/consensus/tests.rs
+++ b/crates/coordination/src/consensus/tests.rs
@@ -2,6 +2,7 @@
 //! membership changes, checked against what consensus promises.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use bytes::Bytes;
 use rand::RngExt;
@@ -138,6 +139,7 @@
         let membership = GroupMembership {
             voters: records(1..=voters, &harness),
             learners: BTreeMap::new(),
+            barred: BTreeSet::new(),
         };
         for id in 1..=voters {
             let member = harness.members.get_mut(&NodeId(id)).unwrap();
--- a/crates/coordination/src/freshness.rs
+++ b/crates/coordination/src/freshness.rs
@@ -3,11 +3,9 @@
 use std::collections::BTreeMap;
 
 use crate::clock::ClockTime;
+use crate::clock::DRIFT_ALLOWANCE_PER_MILLE;
 use crate::ident::RunId;
 
-/// Parts per thousand by which two clocks may run apart.
-const DRIFT_ALLOWANCE_PER_MILLE: u64 = 10;
-
 /// A follower's knowledge of how new its view is.
 #[derive(Debug, Clone, Copy)]
 pub struct ViewFreshness {
--- a/crates/coordination/src/repair.rs
+++ b/crates/coordination/src/repair.rs
@@ -133,6 +133,7 @@
         self.seen
             .iter()
             .filter(|(node, _)| !membership.contains(**node) && !self.is_lost(now, **node))
+            .filter(|(node, _)| !membership.barred.contains(node))
             .min_by_key(|(node, (_, record))| {
                 let elsewhere = lost_zone != Some(record.zone.as_str());
                 (elsewhere, voters_in(&record.zone), **node)
--- a/crates/coordination/tests/parts.rs
+++ b/crates/coordination/tests/parts.rs
@@ -1,6 +1,7 @@
 //! Charts, freshness and repair through the public interface.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use proptest::prelude::*;
 use rstest::rstest;
@@ -156,6 +157,7 @@
     GroupMembership {
         voters: records(voters),
         learners: records(learners),
+        barred: BTreeSet::new(),
     }
 }
 
--- a/crates/daemon/src/control/answers.rs
+++ b/crates/daemon/src/control/answers.rs
@@ -4,6 +4,9 @@
 
 use super::lead::CustomerBudget;
 use super::lead::LiveInstance;
+use super::lead::REGISTRY_SETTLE_MS;
+use super::lead::RESEND_MS;
+use super::lead::SLOT_LEASE_MS;
 use super::outputs::write_state;
 use super::thread::ControlCore;
 use super::thread::ReplyTo;
@@ -35,15 +38,6 @@
 use bergamotlane_wire::peer::TargetFrame;
 use bergamotlane_wire::peer::ViewFrame;
 
-/// How long slots are granted without renewal, in milliseconds.
-const SLOT_LEASE_MS: u64 = 1_500;
-
-/// Time until all targets have announced themselves to a new leader, in milliseconds.
-const REGISTRY_SETTLE_MS: u64 = 4_000;
-
-/// Time after which an unanswered order or report is sent again, in milliseconds.
-const RESEND_MS: u64 = 1_000;
-
 /// Entries sent to a follower in one answer.
 const CATCH_UP_ENTRIES: usize = 512;
 
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeSet;
 
+use super::lead::REGISTRY_SETTLE_MS;
+use super::lead::RESEND_MS;
 use super::thread::ControlCore;
 use super::thread::ReplyTo;
 use crate::clock::now;
@@ -20,12 +22,6 @@
 use bergamotlane_policy::targets::PoolDemand;
 use bergamotlane_wire::peer::MembershipChange;
 
-/// Time until all targets have announced themselves to a new leader, in milliseconds.
-const REGISTRY_SETTLE_MS: u64 = 4_000;
-
-/// Time after which an unanswered order or report is sent again, in milliseconds.
-const RESEND_MS: u64 = 1_000;
-
 impl ControlCore {
     pub(super) fn repair_group(&mut self, time: ClockTime) {
         let (Some(lead), Some(voter)) = (&mut self.lead, &mut self.voter) else {
@@ -77,7 +73,7 @@
             MembershipChange::Remove { name } => membership
                 .members()
                 .find(|(_, record)| record.name == *name)
-                .map(|(node, _)| membership.without(node)),
+                .map(|(node, _)| membership.barring(node)),
         };
         let next = next.ok_or("no such instance with a disk, or nothing to change")?;
         voter
--- a/crates/daemon/src/control/founding.rs
+++ b/crates/daemon/src/control/founding.rs
@@ -45,6 +45,7 @@
         let membership = GroupMembership {
             voters: BTreeMap::from([(voter.node.id(), self.own_record())]),
             learners: BTreeMap::new(),
+            barred: BTreeSet::new(),
         };
         let cluster = rand::random::<u64>().max(1);
         spdlog::info!("consensus: Forms cluster {cluster:016x}.");
--- a/crates/daemon/src/control/lead.rs
+++ b/crates/daemon/src/control/lead.rs
@@ -27,7 +27,13 @@
 use bergamotlane_wire::peer::PeerFrame;
 
 /// How long slots are granted without renewal, in milliseconds.
-const SLOT_LEASE_MS: u64 = 1_500;
+pub(super) const SLOT_LEASE_MS: u64 = 1_500;
+
+/// Time until all targets have announced themselves to a new leader, in milliseconds.
+pub(super) const REGISTRY_SETTLE_MS: u64 = 4_000;
+
+/// Time after which an unanswered order or report is sent again, in milliseconds.
+pub(super) const RESEND_MS: u64 = 1_000;
 
 /// Silence after which an instance no longer counts as live, in milliseconds.
 const INSTANCE_EXPIRY_MS: u64 = 3_000;
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -3,4 +3,5 @@
 mod failures;
 mod faults;
 mod hostile;
+mod operators;
 mod support;
--- a/crates/wire/src/consensus.rs
+++ b/crates/wire/src/consensus.rs
@@ -1,6 +1,7 @@
 //! Wire forms of the replicated log and its messages.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use bytes::Bytes;
 use serde_bytes::ByteBuf;
@@ -29,6 +30,7 @@
     GroupMembershipWire for GroupMembership {
         voters: BTreeMap<NodeId, MemberRecord>,
         learners: BTreeMap<NodeId, MemberRecord>,
+        barred: BTreeSet<NodeId>,
     }
 }
 
