--- a/crates/coordination/src/consensus/replication.rs
+++ b/crates/coordination/src/consensus/replication.rs
@@ -14,6 +14,22 @@
 /// Entries sent in one message.
 const APPEND_BATCH_ENTRIES: usize = 256;
 
+/// Command bytes after which a message takes no further entry.
+const APPEND_BATCH_BYTES: usize = 1024 * 1024;
+
+/// Returns as many of the entries as one message takes, at least one if there is any.
+fn batch(entries: &[LogEntry]) -> Vec<LogEntry> {
+    let mut bytes = 0;
+    let fits = |entry: &&LogEntry| {
+        let before = bytes;
+        if let EntryBody::Command(command) = &entry.body {
+            bytes += command.len();
+        }
+        before < APPEND_BATCH_BYTES
+    };
+    entries.iter().take_while(fits).cloned().collect()
+}
+
 /// How far a peer holds the log, as the leader knows it.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct PeerProgress {
@@ -87,7 +103,7 @@
             }
             return;
         };
-        let entries = self.log.slice(progress.next, APPEND_BATCH_ENTRIES).to_vec();
+        let entries = batch(self.log.slice(progress.next, APPEND_BATCH_ENTRIES));
         if entries.is_empty() && !even_empty {
             return;
         }
--- a/crates/coordination/src/repair.rs
+++ b/crates/coordination/src/repair.rs
@@ -4,6 +4,7 @@
 //! learner a voter, and then the lost one is removed.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 
 use crate::clock::ClockTime;
 use crate::consensus::GroupMembership;
@@ -52,6 +53,7 @@
     config: RepairConfig,
     started_at: ClockTime,
     seen: BTreeMap<NodeId, (ClockTime, MemberRecord)>,
+    unwanted: BTreeSet<NodeId>,
 }
 
 impl RepairPlanner {
@@ -61,6 +63,7 @@
             config,
             started_at: now,
             seen: BTreeMap::new(),
+            unwanted: BTreeSet::new(),
         }
     }
 
@@ -76,11 +79,30 @@
         local: NodeId,
         membership: &'a GroupMembership,
     ) -> impl Iterator<Item = NodeId> + 'a {
-        let members = membership.members().map(|(node, _)| node);
-        members.filter(move |node| *node != local && self.is_lost(now, *node))
+        let members = membership.members();
+        let lost = members.filter(move |(node, record)| {
+            *node != local && (self.is_lost(now, *node) || self.is_succeeded(*node, record))
+        });
+        lost.map(|(node, _)| node)
+    }
+
+    /// Names the nodes that shall be replaced though they are alive.
+    pub fn set_unwanted(&mut self, unwanted: BTreeSet<NodeId>) {
+        self.unwanted = unwanted;
+    }
+
+    /// Returns whether an instance came back under its name with another folder.
+    fn is_succeeded(&self, node: NodeId, record: &MemberRecord) -> bool {
+        let seen_at = self.seen.get(&node).map(|(time, _)| *time);
+        self.seen.iter().any(|(other, (time, it))| {
+            *other != node && it.name == record.name && seen_at.is_none_or(|at| at < *time)
+        })
     }
 
     fn is_lost(&self, now: ClockTime, node: NodeId) -> bool {
+        if self.unwanted.contains(&node) {
+            return true;
+        }
         let last = self
             .seen
             .get(&node)
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -9,7 +9,6 @@
 mod publish;
 mod report;
 mod thread;
-mod voter;
 mod work;
 
 use std::sync::Arc;
@@ -31,11 +30,11 @@
 use bergamotlane_wire::peer::MembershipChange;
 use bergamotlane_wire::peer::SubmitFailure;
 
+pub use bergamotlane_storage::DiskVoter;
 pub use report::class_word;
 pub use thread::ControlHub;
 pub use thread::ControlStart;
 pub use thread::run_control;
-pub use voter::DiskVoter;
 pub use work::RolloutJob;
 
 /// A question about state, answered on the control thread.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -36,6 +36,7 @@
 use crate::settings::DaemonConfig;
 use crate::shared::TrafficShared;
 use crate::storage::DataFolder;
+use crate::storage::SnapshotTerms;
 use crate::storage::StorageError;
 use bergamotlane_coordination::consensus::ConsensusConfig;
 use bergamotlane_coordination::consensus::ConsensusNode;
@@ -122,7 +123,11 @@
         start.log.last_index()
     );
     let node = ConsensusNode::new(now(), ConsensusConfig::default(), start);
-    Ok(Some(DiskVoter { node, folder }))
+    Ok(Some(DiskVoter {
+        node,
+        folder,
+        snapshots: SnapshotTerms::default(),
+    }))
 }
 
 async fn listen(address: SocketAddr) -> Result<TcpListener, DaemonError> {
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,5 @@
 //! Daemon of the bergamotlane rollout service.
 
-mod clock;
 mod config;
 mod control;
 mod daemon;
@@ -15,11 +14,12 @@
 mod serve;
 mod settings;
 mod shared;
-mod storage;
 
 use std::env;
 use std::process::ExitCode;
 
+use bergamotlane_storage as storage;
+use bergamotlane_storage::clock;
 use config::ConfigRequest;
 
 /// Exit status for bad settings.
--- /dev/null
+++ b/crates/service/src/keeper/calls.rs
@@ -0,0 +1,254 @@
+//! Calls to the leader.
+
+use bytes::Bytes;
+
+use super::core::CallOrigin;
+use super::core::KeeperCore;
+use super::lead::ResultWaiter;
+use crate::dialect::TargetDialect;
+use crate::frames::LeaderCall;
+use crate::frames::LeaderReply;
+use crate::frames::ListedResult;
+use crate::jobs::JobRecord;
+use crate::registry::NoticeEffect;
+use crate::registry::TargetNotice;
+use crate::state::StateCommand;
+use bergamotlane_storage::clock::now;
+
+/// Text bytes after which an answer takes no further result.
+const RESULTS_BYTES: usize = 700 * 1024;
+
+impl<D: TargetDialect> KeeperCore<D> {
+    /// Returns whether this keeper leads, its lease is live and it has applied all that was
+    /// committed before it led.
+    pub(super) fn is_confirmed(&self) -> bool {
+        let Some(voter) = &self.voter else {
+            return false;
+        };
+        let confirmed = voter.node.confirmed_commit(now());
+        confirmed.is_some_and(|index| self.state.index >= index) && self.lead.is_some()
+    }
+
+    pub(super) fn handle_call(&mut self, call: LeaderCall, origin: CallOrigin) {
+        if !self.is_confirmed() {
+            self.reply(origin, LeaderReply::NotLeader);
+            return;
+        }
+        match call {
+            LeaderCall::Change(command) => self.change(&command, origin),
+            LeaderCall::EndJob { job, customer } => self.end_job(job, customer.as_deref(), origin),
+            LeaderCall::Announce(notice) => self.announce(notice, origin),
+            LeaderCall::Depart(id) => self.depart(&id, origin),
+            LeaderCall::ReadPlan => {
+                let reply = match &self.state.plan {
+                    Some(record) => LeaderReply::Document(record.document.clone()),
+                    None => LeaderReply::Missing,
+                };
+                self.reply(origin, reply);
+            }
+            LeaderCall::ReadJob {
+                job,
+                customer,
+                after,
+                wait_ms,
+            } => self.read_job(job, customer, after, wait_ms, origin),
+            LeaderCall::ReadItem {
+                job,
+                customer,
+                item,
+            } => {
+                let reply = self.read_item(&job, customer.as_deref(), &item);
+                self.reply(origin, reply);
+            }
+            LeaderCall::Retire(instance) => self.retire(instance, origin),
+            LeaderCall::RetireState(instance) => {
+                let reply = match self.is_known_keeper(&instance) {
+                    true => LeaderReply::Retired(self.is_emptied(&instance)),
+                    false => LeaderReply::Missing,
+                };
+                self.reply(origin, reply);
+            }
+        }
+    }
+
+    fn change(&mut self, command: &StateCommand, origin: CallOrigin) {
+        let done = match command {
+            StateCommand::ReplacePlan { plan, .. } => self
+                .state
+                .plan_version()
+                .is_some_and(|it| it >= plan.version),
+            StateCommand::Submit(submission) => self.state.jobs.get(&submission.id).is_some(),
+            StateCommand::Evacuate(zone) => self.state.evacuated.contains(zone),
+            StateCommand::Restore(zone) => !self.state.evacuated.contains(zone),
+            StateCommand::NameVersion { model, version } => self
+                .state
+                .weights
+                .get(model)
+                .is_some_and(|it| it >= version),
+            _ => false,
+        };
+        match done {
+            true => self.reply(origin, LeaderReply::Done),
+            false => self.propose(command, origin),
+        }
+    }
+
+    fn job_of(&self, job: &str, customer: Option<&str>) -> Option<&JobRecord> {
+        let record = self.state.jobs.get(job)?;
+        (record.submission.customer.as_deref() == customer).then_some(record)
+    }
+
+    fn end_job(&mut self, job: String, customer: Option<&str>, origin: CallOrigin) {
+        match self.job_of(&job, customer).map(|it| it.ended) {
+            None => self.reply(origin, LeaderReply::Missing),
+            Some(true) => self.reply(origin, LeaderReply::Done),
+            Some(false) => {
+                self.stop_job(&job);
+                self.propose(&StateCommand::EndJob(job), origin);
+            }
+        }
+    }
+
+    fn announce(&mut self, notice: TargetNotice, origin: CallOrigin) {
+        let known = self.state.plan.as_ref().is_none_or(|record| {
+            let mut services = record.plan.services.iter();
+            services.any(|it| it.name == notice.service)
+        });
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if known {
+            let id = notice.id.clone();
+            let draining = notice.is_draining;
+            let effect = lead.registry.announce(now(), notice);
+            match effect {
+                NoticeEffect::Changed => {
+                    spdlog::info!("target: changed", kv: { target = id.as_str(), draining });
+                    lead.changes.targets = true;
+                }
+                NoticeEffect::Versions => lead.changes.versions = true,
+                NoticeEffect::Ignored | NoticeEffect::Refreshed => {}
+            }
+            if draining {
+                self.push_views();
+            }
+        }
+        let control = Some(self.settings.control);
+        self.reply(origin, LeaderReply::Announced(control));
+    }
+
+    fn depart(&mut self, id: &str, origin: CallOrigin) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if lead.registry.depart(now(), id) {
+            spdlog::info!("target: left", kv: { target = id });
+            lead.changes.targets = true;
+            self.push_views();
+        }
+        self.reply(origin, LeaderReply::Done);
+    }
+
+    fn read_job(
+        &mut self,
+        job: String,
+        customer: Option<String>,
+        after: u64,
+        wait_ms: u64,
+        origin: CallOrigin,
+    ) {
+        let Some(record) = self.job_of(&job, customer.as_deref()) else {
+            self.reply(origin, LeaderReply::Missing);
+            return;
+        };
+        let nothing_yet = record.results.len() as u64 <= after && !record.is_settled();
+        if nothing_yet && wait_ms > 0 {
+            let until = now() + wait_ms;
+            if let Some(lead) = &mut self.lead {
+                lead.waiters.push(ResultWaiter {
+                    job,
+                    after,
+                    until,
+                    origin,
+                });
+            }
+            return;
+        }
+        let reply = results_of(record, after);
+        self.reply(origin, reply);
+    }
+
+    /// Answers waiting readers of a job, or of all jobs whose wait is over.
+    pub(super) fn answer_waiters(&mut self, job: Option<&str>) {
+        let time = now();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let due = |it: &mut ResultWaiter| job == Some(it.job.as_str()) || time >= it.until;
+        let waiters: Vec<ResultWaiter> = lead.waiters.extract_if(.., due).collect();
+        for waiter in waiters {
+            let reply = match self.state.jobs.get(&waiter.job) {
+                Some(record) => results_of(record, waiter.after),
+                None => LeaderReply::Missing,
+            };
+            let reply = match self.is_confirmed() {
+                true => reply,
+                false => LeaderReply::NotLeader,
+            };
+            self.reply(waiter.origin, reply);
+        }
+    }
+
+    fn read_item(&self, job: &str, customer: Option<&str>, item: &str) -> LeaderReply {
+        let Some(record) = self.job_of(job, customer) else {
+            return LeaderReply::Missing;
+        };
+        let items = &record.submission.items;
+        let place = items.iter().position(|it| it.id == item);
+        match place {
+            Some(place) if record.is_open(place as u32) => {
+                LeaderReply::Body(items[place].body.clone())
+            }
+            _ => LeaderReply::Missing,
+        }
+    }
+
+    fn retire(&mut self, instance: String, origin: CallOrigin) {
+        if !self.is_known_keeper(&instance) {
+            self.reply(origin, LeaderReply::Missing);
+            return;
+        }
+        if self.state.retiring.contains(&instance) {
+            self.reply(origin, LeaderReply::Done);
+            return;
+        }
+        match self.can_spare(&instance) {
+            true => self.propose(&StateCommand::Retire(instance), origin),
+            false => self.reply(origin, LeaderReply::Conflict),
+        }
+    }
+}
+
+/// Returns the results from a position on, as many as one answer takes.
+fn results_of(record: &JobRecord, after: u64) -> LeaderReply {
+    let after = (after as usize).min(record.results.len());
+    let mut bytes = 0;
+    let mut results = Vec::new();
+    for result in &record.results[after..] {
+        bytes += result.text.len();
+        if bytes > RESULTS_BYTES && !results.is_empty() {
+            break;
+        }
+        results.push(ListedResult {
+            id: record.submission.items[result.item as usize].id.clone(),
+            end: result.end,
+            text: Bytes::clone(&result.text),
+            versions: result.versions.clone(),
+        });
+    }
+    LeaderReply::Results {
+        total: record.listed.len() as u64,
+        next: (after + results.len()) as u64,
+        results,
+    }
+}
--- /dev/null
+++ b/crates/service/src/keeper/core.rs
@@ -0,0 +1,426 @@
+//! State and loop of the control thread.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::KeeperEvent;
+use super::KeeperSettings;
+use super::LeaseWatch;
+use super::lead::LeadState;
+use crate::dialect::TargetDialect;
+use crate::frames::HelloFrame;
+use crate::frames::LeadHint;
+use crate::frames::LeaderReply;
+use crate::frames::LinkFrame;
+use crate::link::LinkEvent;
+use crate::link::LinkHub;
+use crate::link::LinkId;
+use crate::pool::TargetPool;
+use crate::port::CallRequest;
+use crate::port::CallResult;
+use crate::registry::TargetView;
+use crate::state::ServiceState;
+use crate::usage::UsageTally;
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_coordination::consensus::ConsensusConfig;
+use bergamotlane_coordination::consensus::ConsensusMessage;
+use bergamotlane_coordination::consensus::ConsensusNode;
+use bergamotlane_coordination::consensus::ConsensusOutput;
+use bergamotlane_coordination::consensus::NodeStart;
+use bergamotlane_coordination::ident::NodeId;
+use bergamotlane_storage::DataFolder;
+use bergamotlane_storage::DiskVoter;
+use bergamotlane_storage::FolderContent;
+use bergamotlane_storage::SnapshotTerms;
+use bergamotlane_storage::clock::now;
+
+/// Time between two looks at the timers.
+const TICK: Duration = Duration::from_millis(20);
+
+/// Inputs taken before the timers are looked at again.
+const INPUT_BATCH: usize = 256;
+
+/// Time for which a keeper that is gone is still dialled, in milliseconds.
+const KEEPER_KEPT_MS: u64 = 30_000;
+
+/// Pause before a failed data folder is opened again, in milliseconds.
+const REOPEN_PAUSE_MS: u64 = 500;
+
+const SNAPSHOTS: SnapshotTerms = SnapshotTerms {
+    log_bytes: 48 * 1024 * 1024,
+    entries: 60_000,
+};
+
+const CONSENSUS: ConsensusConfig = ConsensusConfig {
+    heartbeat_ms: 100,
+    lease_ms: 900,
+    election_spread_ms: 300,
+};
+
+/// Where the answer to a call goes.
+#[derive(Debug)]
+pub(super) enum CallOrigin {
+    Local(oneshot::Sender<CallResult>),
+    Link(LinkId, u64),
+    Nobody,
+}
+
+/// A proposed change whose caller waits for it.
+#[derive(Debug)]
+pub(super) struct PendingChange {
+    pub(super) term: u64,
+    pub(super) origin: CallOrigin,
+}
+
+pub(super) struct KeeperCore<D> {
+    pub(super) settings: KeeperSettings,
+    pub(super) dialect: D,
+    pub(super) hello: HelloFrame,
+    pub(super) hub: Arc<LinkHub>,
+    pub(super) runtime: Handle,
+    pub(super) events: mpsc::UnboundedSender<KeeperEvent>,
+    pub(super) pool: Arc<TargetPool>,
+    pub(super) lease: LeaseWatch,
+    pub(super) voter: Option<DiskVoter>,
+    pub(super) reopen_at: ClockTime,
+    pub(super) outputs: Vec<ConsensusOutput>,
+    pub(super) state: ServiceState,
+    pub(super) seen_at: HashMap<String, ClockTime>,
+    pub(super) links: BTreeMap<LinkId, (HelloFrame, bool)>,
+    pub(super) keepers: BTreeMap<SocketAddr, ClockTime>,
+    pub(super) pending: BTreeMap<u64, PendingChange>,
+    pub(super) forwarded: HashMap<u64, (LinkId, oneshot::Sender<CallResult>)>,
+    pub(super) next_call: u64,
+    pub(super) leader: Option<(u64, LinkId)>,
+    pub(super) lead: Option<LeadState>,
+    pub(super) last_targets: Vec<TargetView>,
+    pub(super) tally: UsageTally,
+}
+
+fn open_voter(folder: DataFolder, content: FolderContent, time: ClockTime) -> DiskVoter {
+    let start = NodeStart {
+        node: NodeId(folder.identity().node),
+        vote: content.vote,
+        log: content.log,
+        seed: rand::random(),
+    };
+    DiskVoter {
+        node: ConsensusNode::new(time, CONSENSUS, start),
+        folder,
+        snapshots: SNAPSHOTS,
+    }
+}
+
+impl<D: TargetDialect> KeeperCore<D> {
+    pub(super) fn new(
+        settings: KeeperSettings,
+        dialect: D,
+        hello: HelloFrame,
+        folder: (DataFolder, FolderContent),
+        hub: Arc<LinkHub>,
+        runtime: Handle,
+        events: mpsc::UnboundedSender<KeeperEvent>,
+    ) -> Self {
+        let time = now();
+        let mut core = Self {
+            voter: Some(open_voter(folder.0, folder.1, time)),
+            settings,
+            dialect,
+            hello,
+            hub,
+            runtime,
+            events,
+            pool: TargetPool::new(),
+            lease: LeaseWatch::default(),
+            reopen_at: time,
+            outputs: Vec::new(),
+            state: ServiceState::default(),
+            seen_at: HashMap::new(),
+            links: BTreeMap::new(),
+            keepers: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            forwarded: HashMap::new(),
+            next_call: 0,
+            leader: None,
+            lead: None,
+            last_targets: Vec::new(),
+            tally: UsageTally::default(),
+        };
+        core.restore_from_disk();
+        core.dial();
+        core
+    }
+
+    pub(super) async fn run(
+        mut self,
+        mut links: mpsc::UnboundedReceiver<LinkEvent>,
+        mut requests: mpsc::UnboundedReceiver<CallRequest>,
+        mut inputs: mpsc::UnboundedReceiver<KeeperEvent>,
+    ) {
+        loop {
+            let wait = async {
+                tokio::select! {
+                    Some(event) = links.recv() => self.on_link(event),
+                    Some(request) = requests.recv() => self.on_request(request),
+                    Some(event) = inputs.recv() => self.on_event(event),
+                }
+            };
+            // Running out of time means that only timers are due.
+            timeout(TICK, wait).await.ok();
+            for _ in 0..INPUT_BATCH {
+                let mut idle = true;
+                if let Ok(event) = links.try_recv() {
+                    self.on_link(event);
+                    idle = false;
+                }
+                if let Ok(request) = requests.try_recv() {
+                    self.on_request(request);
+                    idle = false;
+                }
+                if let Ok(event) = inputs.try_recv() {
+                    self.on_event(event);
+                    idle = false;
+                }
+                if idle {
+                    break;
+                }
+            }
+            self.tick();
+        }
+    }
+
+    pub(super) fn dial(&mut self) {
+        let time = now();
+        let members: Vec<SocketAddr> = self
+            .voter
+            .iter()
+            .flat_map(|it| it.node.membership().members())
+            .filter_map(|(_, record)| record.address.parse().ok())
+            .collect();
+        self.keepers
+            .retain(|_, at| time.since(*at) < KEEPER_KEPT_MS);
+        let mut wanted: BTreeSet<SocketAddr> = self.settings.seeds.clone();
+        wanted.extend(members);
+        wanted.extend(self.keepers.keys());
+        self.hub.update_hello(|it| it.keepers = wanted.clone());
+        let _runtime = self.runtime.enter();
+        self.hub.want(wanted);
+    }
+
+    fn on_link(&mut self, event: LinkEvent) {
+        match event {
+            LinkEvent::Up {
+                link,
+                hello,
+                dialled,
+            } => self.on_link_up(link, hello, dialled),
+            LinkEvent::Down(link) => self.on_link_down(link),
+            LinkEvent::Frame(link, frame) => self.on_frame(link, frame),
+        }
+    }
+
+    fn on_link_up(&mut self, link: LinkId, hello: HelloFrame, dialled: bool) {
+        let time = now();
+        if let Some(cluster) = hello.cluster {
+            self.join_cluster(cluster);
+        }
+        let mut fresh = false;
+        if let Some(address) = hello.address {
+            fresh |= self.keepers.insert(address, time).is_none();
+        }
+        if hello.node.is_some() {
+            for address in &hello.keepers {
+                fresh |= !self.keepers.contains_key(address);
+                self.keepers.entry(*address).or_insert(time);
+            }
+        }
+        self.links.insert(link, (hello, dialled));
+        if fresh {
+            self.dial();
+        }
+        self.welcome(link);
+    }
+
+    fn on_link_down(&mut self, link: LinkId) {
+        self.links.remove(&link);
+        if self.leader.is_some_and(|(_, it)| it == link) {
+            self.leader = None;
+        }
+        let lost: Vec<u64> = self
+            .forwarded
+            .iter()
+            .filter(|(_, (it, _))| *it == link)
+            .map(|(id, _)| *id)
+            .collect();
+        for id in lost {
+            if let Some((_, sender)) = self.forwarded.remove(&id) {
+                sender.send(CallResult::Broken).ok();
+            }
+        }
+    }
+
+    fn on_frame(&mut self, link: LinkId, frame: LinkFrame) {
+        match frame {
+            LinkFrame::Ping(hint) => self.on_hint(link, hint),
+            LinkFrame::Consensus(message) => self.on_consensus(link, message),
+            LinkFrame::Call { id, call } => self.handle_call(call, CallOrigin::Link(link, id)),
+            LinkFrame::Reply { id, reply } => {
+                if let Some((_, sender)) = self.forwarded.remove(&id) {
+                    // The caller may have left.
+                    sender.send(CallResult::Answered(reply)).ok();
+                }
+            }
+            LinkFrame::View(view) => {
+                if let Some(targets) = view.targets {
+                    self.last_targets = targets;
+                }
+                self.on_hint(
+                    link,
+                    LeadHint {
+                        leads: true,
+                        term: view.term,
+                    },
+                );
+                if let Some(keepers) = view.keepers {
+                    let time = now();
+                    let known = self.keepers.len();
+                    for address in keepers {
+                        self.keepers.entry(address).or_insert(time);
+                    }
+                    if self.keepers.len() != known {
+                        self.dial();
+                    }
+                }
+            }
+            LinkFrame::Usage { process, sums } => self.tally.merge(process, sums),
+            LinkFrame::Hello(_) => {}
+        }
+    }
+
+    fn on_consensus(&mut self, link: LinkId, wire: bergamotlane_wire::ConsensusMessageWire) {
+        let node = self.links.get(&link).and_then(|(hello, _)| hello.node);
+        let (Some(node), Some(voter)) = (node, &mut self.voter) else {
+            return;
+        };
+        match ConsensusMessage::try_from(wire) {
+            Ok(message) => {
+                voter
+                    .node
+                    .receive(now(), NodeId(node), message, &mut self.outputs);
+            }
+            Err(error) => {
+                spdlog::warn!("consensus: bad message dropped", kv: { error = error.to_string() });
+            }
+        }
+        self.carry_out();
+    }
+
+    fn on_hint(&mut self, link: LinkId, hint: LeadHint) {
+        let known = self.leader.map(|(term, _)| term);
+        if hint.leads && known.is_none_or(|term| term <= hint.term) {
+            self.leader = Some((hint.term, link));
+        }
+        if !hint.leads && self.leader.is_some_and(|(_, it)| it == link) {
+            self.leader = None;
+        }
+    }
+
+    fn on_request(&mut self, request: CallRequest) {
+        if self.is_confirmed() {
+            self.handle_call(request.call, CallOrigin::Local(request.reply));
+            return;
+        }
+        let Some((_, link)) = self.leader else {
+            // The caller may have left.
+            request.reply.send(CallResult::NoLeader).ok();
+            return;
+        };
+        self.next_call += 1;
+        let id = self.next_call;
+        let call = request.call;
+        if self.hub.send(link, &LinkFrame::Call { id, call }) {
+            self.forwarded.insert(id, (link, request.reply));
+        } else {
+            request.reply.send(CallResult::NoLeader).ok();
+        }
+    }
+
+    fn on_event(&mut self, event: KeeperEvent) {
+        match event {
+            KeeperEvent::RunEnded(run, end) => self.on_run_ended(run, end),
+            KeeperEvent::Ordered {
+                id,
+                born,
+                model,
+                version,
+                answer,
+            } => self.on_ordered(&id, born, &model, version, answer),
+            KeeperEvent::Inspected { id, born, report } => {
+                self.on_inspected(&id, born, report.as_ref());
+            }
+            KeeperEvent::Reported { window, taken } => self.on_reported(window, taken),
+            KeeperEvent::Seeds(seeds) => {
+                self.settings.seeds = seeds;
+                self.dial();
+            }
+            KeeperEvent::PassLead(done) => {
+                self.pass_lead();
+                done.send(()).ok();
+            }
+        }
+    }
+
+    pub(super) fn reply(&self, origin: CallOrigin, reply: LeaderReply) {
+        match origin {
+            CallOrigin::Local(sender) => {
+                // The caller may have left.
+                sender.send(CallResult::Answered(reply)).ok();
+            }
+            CallOrigin::Link(link, id) => {
+                self.hub.send(link, &LinkFrame::Reply { id, reply });
+            }
+            CallOrigin::Nobody => {}
+        }
+    }
+
+    fn tick(&mut self) {
+        let time = now();
+        self.reopen(time);
+        if let Some(voter) = &mut self.voter {
+            voter.node.tick(time, &mut self.outputs);
+        }
+        self.found_group(time);
+        self.carry_out();
+        self.lead_tick();
+        self.carry_out();
+        self.forwarded.retain(|_, (_, sender)| !sender.is_closed());
+    }
+
+    /// Opens the data folder again after storage has failed.
+    fn reopen(&mut self, time: ClockTime) {
+        if self.voter.is_some() || time < self.reopen_at {
+            return;
+        }
+        self.reopen_at = time + REOPEN_PAUSE_MS;
+        match DataFolder::open(&self.settings.data, NodeId(rand::random())) {
+            Ok((folder, content)) => {
+                spdlog::info!("storage: opened again");
+                self.voter = Some(open_voter(folder, content, time));
+                self.state = ServiceState::default();
+                self.restore_from_disk();
+            }
+            Err(error) => {
+                spdlog::warn!("storage: still unusable", kv: { error = error.to_string() });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/service/src/keeper/outputs.rs
@@ -0,0 +1,192 @@
+//! Changes into the log, and what comes out of it.
+
+use super::core::CallOrigin;
+use super::core::KeeperCore;
+use super::core::PendingChange;
+use crate::dialect::TargetDialect;
+use crate::frames::LeaderReply;
+use crate::frames::LinkFrame;
+use crate::state::ServiceState;
+use crate::state::StateCommand;
+use bergamotlane_coordination::consensus::ConsensusMessage;
+use bergamotlane_coordination::consensus::ConsensusOutput;
+use bergamotlane_coordination::consensus::EntryBody;
+use bergamotlane_coordination::consensus::LogEntry;
+use bergamotlane_coordination::consensus::LogSnapshot;
+use bergamotlane_coordination::consensus::NodeRole;
+use bergamotlane_coordination::ident::NodeId;
+use bergamotlane_storage::StorageError;
+use bergamotlane_storage::clock::now;
+use bergamotlane_wire::ConsensusMessageWire;
+use bergamotlane_wire::codec;
+
+impl<D: TargetDialect> KeeperCore<D> {
+    pub(super) fn restore_from_disk(&mut self) {
+        let Some(voter) = &self.voter else {
+            return;
+        };
+        let snapshot = voter.node.log().snapshot().clone();
+        self.restore(&snapshot);
+        spdlog::info!("storage: log read", kv: {
+            snapshot = snapshot.index,
+            last = self.voter.as_ref().map_or(0, |it| it.node.log().last_index()),
+        });
+    }
+
+    fn restore(&mut self, snapshot: &LogSnapshot) {
+        if !snapshot.data.is_empty() {
+            match codec::decode::<ServiceState>(&snapshot.data) {
+                Ok(state) => self.state = state,
+                Err(error) => {
+                    spdlog::error!("storage: snapshot unreadable", kv: { error = error.to_string() });
+                }
+            }
+        }
+        self.state.skip(snapshot.index);
+        let time = now();
+        for (id, _) in self.state.jobs.iter() {
+            self.seen_at.entry(id.clone()).or_insert(time);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self) {
+        while !self.outputs.is_empty() {
+            let Some(voter) = &mut self.voter else {
+                self.outputs.clear();
+                return;
+            };
+            let outputs = std::mem::take(&mut self.outputs);
+            match voter.settle(now(), outputs) {
+                Ok(ready) => {
+                    for output in ready {
+                        self.act(output);
+                    }
+                }
+                Err(error) => self.lose_disk(&error),
+            }
+        }
+        self.take_snapshot();
+    }
+
+    pub(super) fn lose_disk(&mut self, error: &StorageError) {
+        spdlog::error!("storage: failed, no longer voting", kv: { error = error.to_string() });
+        self.voter = None;
+        self.outputs.clear();
+        self.end_lead();
+    }
+
+    fn act(&mut self, output: ConsensusOutput) {
+        match output {
+            ConsensusOutput::Send { to, message } => self.send_consensus(to, &message),
+            ConsensusOutput::Apply(entry) => self.apply(entry),
+            ConsensusOutput::Restore(snapshot) => {
+                if snapshot.index > self.state.index {
+                    self.restore(&snapshot);
+                }
+                self.dial();
+            }
+            ConsensusOutput::RoleChanged { role, term } => self.on_role(role, term),
+            ConsensusOutput::SaveVote(_)
+            | ConsensusOutput::AppendEntries(_)
+            | ConsensusOutput::SaveSnapshot(_) => {}
+        }
+    }
+
+    fn send_consensus(&self, to: NodeId, message: &ConsensusMessage) {
+        let mut links = self.links.iter().rev();
+        let link = links.find(|(_, (hello, dialled))| *dialled && hello.node == Some(to.0));
+        if let Some((link, _)) = link {
+            let wire = ConsensusMessageWire::from(message);
+            self.hub.send(*link, &LinkFrame::Consensus(wire));
+        }
+    }
+
+    fn on_role(&mut self, role: NodeRole, term: u64) {
+        spdlog::info!("consensus: role", kv: { role = format!("{role:?}"), term });
+        match role {
+            NodeRole::Leader => self.begin_lead(term),
+            _ => self.end_lead(),
+        }
+    }
+
+    fn apply(&mut self, entry: LogEntry) {
+        if entry.index != self.state.index + 1 {
+            return;
+        }
+        match entry.body {
+            EntryBody::Noop => self.state.skip(entry.index),
+            EntryBody::Membership(_) => {
+                self.state.skip(entry.index);
+                self.dial();
+                self.members_changed();
+            }
+            EntryBody::Command(bytes) => match codec::decode::<StateCommand>(&bytes) {
+                Ok(command) => self.apply_command(entry.index, command),
+                Err(error) => {
+                    spdlog::error!("consensus: entry skipped", kv: { index = entry.index, error = error.to_string() });
+                    self.state.skip(entry.index);
+                }
+            },
+        }
+        self.settle_pending(entry.index, entry.term);
+    }
+
+    fn apply_command(&mut self, index: u64, command: StateCommand) {
+        if let StateCommand::Submit(submission) = &command {
+            self.seen_at.entry(submission.id.clone()).or_insert(now());
+        }
+        if let StateCommand::ForgetJobs(jobs) = &command {
+            for job in jobs {
+                self.seen_at.remove(job);
+            }
+        }
+        let effect = self.effect_of(&command);
+        self.state.apply(index, command);
+        self.take_effect(effect);
+    }
+
+    fn settle_pending(&mut self, index: u64, term: u64) {
+        let Some(pending) = self.pending.remove(&index) else {
+            return;
+        };
+        // Another leader's entry at this index means that the own one is lost for good.
+        let reply = match pending.term == term {
+            true => LeaderReply::Done,
+            false => LeaderReply::NotLeader,
+        };
+        self.reply(pending.origin, reply);
+    }
+
+    pub(super) fn propose(&mut self, command: &StateCommand, origin: CallOrigin) {
+        let bytes = codec::encode(command);
+        let Some(voter) = &mut self.voter else {
+            self.reply(origin, LeaderReply::NotLeader);
+            return;
+        };
+        match voter.node.propose(now(), bytes, &mut self.outputs) {
+            Ok(index) => {
+                let term = voter.node.term();
+                let old = self.pending.insert(index, PendingChange { term, origin });
+                if let Some(old) = old {
+                    self.reply(old.origin, LeaderReply::NotLeader);
+                }
+            }
+            Err(_) => self.reply(origin, LeaderReply::NotLeader),
+        }
+    }
+
+    fn take_snapshot(&mut self) {
+        let Some(voter) = &mut self.voter else {
+            return;
+        };
+        if !voter.wants_snapshot() {
+            return;
+        }
+        let mut outputs = Vec::new();
+        let data = codec::encode(&self.state);
+        voter.node.compact(self.state.index, data, &mut outputs);
+        if let Err(error) = voter.settle(now(), outputs) {
+            self.lose_disk(&error);
+        }
+    }
+}
--- /dev/null
+++ b/crates/service/src/keeper/work.rs
@@ -0,0 +1,286 @@
+//! The leader's runs of items.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use tokio::sync::oneshot;
+
+use super::KeeperEvent;
+use super::core::CallOrigin;
+use super::core::KeeperCore;
+use super::lead::RunHandle;
+use crate::dialect::TargetDialect;
+use crate::plan::RouteIndex;
+use crate::plan::RouteKind;
+use crate::registry::TargetStage;
+use crate::run::RunProgress;
+use crate::run::RunRequest;
+use crate::run::run_item;
+use crate::schedule::EngineSlot;
+use crate::schedule::JobTerms;
+use crate::schedule::RunEnd;
+use crate::schedule::RunKey;
+use crate::schedule::RunStart;
+use crate::state::StateCommand;
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_storage::clock::now;
+
+/// Requests of other kinds that an engine keeps room for, if its service has any.
+const LOOKUP_SLOTS: u32 = 2;
+
+/// Results that one change lists at most.
+const RESULTS_BATCH: usize = 64;
+
+impl<D: TargetDialect> KeeperCore<D> {
+    fn terms_of(&self, job: &str) -> Option<JobTerms> {
+        let record = self.state.jobs.get(job)?;
+        let plan = &self.state.plan.as_ref()?.plan;
+        let submission = &record.submission;
+        let index = RouteIndex::new(plan.clone());
+        let route = index.route(&submission.host, &submission.path)?;
+        let digest = blake3::hash(submission.id.as_bytes());
+        let point = f64::from(digest.as_bytes()[0]) / 256.0;
+        let seen = self.seen_at.get(job).copied().unwrap_or_else(now);
+        Some(JobTerms {
+            due: seen + route.result_deadline_ms,
+            expires: seen + route.item_ttl_ms,
+            service: route.service_at(point).unwrap_or_default().to_owned(),
+            model: submission.model.clone(),
+            min_version: submission.min_version,
+            single_version: route.single_version,
+            max_attempts: route.max_attempts.max(1),
+        })
+    }
+
+    pub(super) fn admit_job(&mut self, job: &str) {
+        let Some(terms) = self.terms_of(job) else {
+            spdlog::warn!("job: no route", kv: { job });
+            return;
+        };
+        let (Some(record), Some(lead)) = (self.state.jobs.get(job), &mut self.lead) else {
+            return;
+        };
+        if record.is_settled() || lead.scheduler.contains(job) {
+            return;
+        }
+        let submission = &record.submission;
+        let mut numbers: HashMap<&str, u32> = HashMap::new();
+        let mut groups = Vec::with_capacity(submission.items.len());
+        for item in &submission.items {
+            let next = numbers.len() as u32;
+            groups.push(*numbers.entry(item.group.as_str()).or_insert(next));
+        }
+        let customer = submission.customer.as_deref();
+        let mut open = Vec::new();
+        for (place, item) in submission.items.iter().enumerate() {
+            let place = place as u32;
+            if !record.is_open(place) {
+                continue;
+            }
+            // A carried-over item whose text is whole need not run again.
+            let kept = (!terms.single_version)
+                .then(|| {
+                    self.state
+                        .jobs
+                        .finished(customer, &item.id, terms.min_version)
+                })
+                .flatten();
+            match kept {
+                Some(result) => {
+                    let mut result = result.clone();
+                    result.item = place;
+                    lead.results.push((job.to_owned(), result));
+                }
+                None => open.push(place),
+            }
+        }
+        spdlog::info!("job: admitted", kv: {
+            job,
+            items = submission.items.len(),
+            open = open.len(),
+            service = terms.service.as_str(),
+            min_version = terms.min_version,
+        });
+        lead.scheduler.admit(job, terms, groups, open);
+    }
+
+    /// Sends open jobs where the plan in force wants them.
+    pub(super) fn route_jobs(&mut self) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let jobs: Vec<String> = lead.scheduler.jobs().map(|(id, _)| id.clone()).collect();
+        for job in jobs {
+            let service = self.terms_of(&job).map(|it| it.service);
+            if let Some(lead) = &mut self.lead {
+                let service = service.unwrap_or_default();
+                lead.scheduler.set_service(&job, &service);
+            }
+        }
+    }
+
+    pub(super) fn stop_job(&mut self, job: &str) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        for run in lead.scheduler.drop_job(job) {
+            lead.runs.remove(&run);
+        }
+        lead.results.retain(|(it, _)| it != job);
+    }
+
+    pub(super) fn drop_settled(&mut self, job: &str) {
+        let settled = self.state.jobs.get(job).is_none_or(|it| it.is_settled());
+        if settled {
+            self.stop_job(job);
+        }
+    }
+
+    pub(super) fn engine_slots(&self, time: ClockTime) -> Vec<EngineSlot> {
+        let (Some(lead), Some(record)) = (&self.lead, &self.state.plan) else {
+            return Vec::new();
+        };
+        let plan = &record.plan;
+        let has_lookups = |service: &str| {
+            let mut routes = plan.routes.iter();
+            routes.any(|it| it.kind != RouteKind::Rollout && it.uses(service))
+        };
+        let ready = lead.registry.iter().filter(|(id, entry)| {
+            entry.stage == TargetStage::Ready
+                && !entry.notice.models.is_empty()
+                && !self.state.evacuated.contains(&entry.notice.zone)
+                && !lead.weights.is_loading(time, id)
+        });
+        ready
+            .map(|(id, entry)| {
+                let notice = &entry.notice;
+                let reserved = match has_lookups(&notice.service) {
+                    true => LOOKUP_SLOTS,
+                    false => 0,
+                };
+                let service = plan.services.iter().find(|it| it.name == notice.service);
+                let cold_per_s = service.map_or(0.0, |it| it.cold_per_s) as u32;
+                EngineSlot {
+                    id: id.clone(),
+                    service: notice.service.clone(),
+                    capacity: notice.capacity.saturating_sub(reserved).max(1),
+                    models: notice.models.clone(),
+                    starts_per_s: entry.is_cold(time).then_some(cold_per_s.max(1)),
+                }
+            })
+            .collect()
+    }
+
+    pub(super) fn assign_items(&mut self, time: ClockTime) {
+        let waiting = self.lead.as_ref().map_or(0, |it| it.scheduler.waiting());
+        if waiting == 0 {
+            return;
+        }
+        let engines = self.engine_slots(time);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let starts = lead.scheduler.assign(time, &engines);
+        for start in starts {
+            self.start_run(time, start);
+        }
+    }
+
+    fn start_run(&mut self, time: ClockTime, start: RunStart) {
+        let (Some(lead), Some(record)) = (&mut self.lead, self.state.jobs.get(&start.job)) else {
+            return;
+        };
+        let Some(entry) = lead.registry.get(&start.engine) else {
+            return;
+        };
+        let submission = &record.submission;
+        let item = &submission.items[start.item as usize];
+        let request = RunRequest {
+            target: start.engine,
+            address: entry.notice.address,
+            item: item.id.clone(),
+            path: item.path.clone(),
+            host: submission.host.clone(),
+            headers: item.headers.clone(),
+            body: item.body.clone(),
+            customer: submission.customer.clone(),
+            version: start.version,
+            min_version: submission.min_version,
+            partial: start.partial,
+        };
+        let (stop, stopped) = oneshot::channel();
+        let progress = Arc::new(RunProgress::default());
+        let handle = RunHandle {
+            job: start.job,
+            item: start.item,
+            stop: Some(stop),
+            progress: Arc::clone(&progress),
+            started: time,
+        };
+        let run = start.run;
+        lead.runs.insert(run, handle);
+        let (pool, dialect) = (Arc::clone(&self.pool), self.dialect.clone());
+        let events = self.events.clone();
+        self.runtime.spawn(async move {
+            let end = run_item(pool, dialect, request, progress, stopped).await;
+            // The control thread ends with the process.
+            events.send(KeeperEvent::RunEnded(run, end)).ok();
+        });
+    }
+
+    pub(super) fn on_run_ended(&mut self, run: RunKey, end: RunEnd) {
+        let time = now();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(handle) = lead.runs.remove(&run) else {
+            return;
+        };
+        if !matches!(end, RunEnd::Completed(_)) {
+            spdlog::info!("item: run ended", kv: {
+                job = handle.job.as_str(),
+                item = handle.item,
+                outcome = end_name(&end),
+                took_ms = time.since(handle.started),
+            });
+        }
+        if let Some((job, result)) = lead.scheduler.ended(time, run, end) {
+            lead.results.push((job, result));
+        }
+    }
+
+    pub(super) fn flush_results(&mut self) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if lead.results.is_empty() {
+            return;
+        }
+        let count = lead.results.len().min(RESULTS_BATCH);
+        let results: Vec<_> = lead.results.drain(..count).collect();
+        self.propose(&StateCommand::List(results), CallOrigin::Nobody);
+    }
+
+    pub(super) fn expire_items(&mut self, time: ClockTime) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let (results, stopped) = lead.scheduler.expire(time);
+        for run in stopped {
+            lead.runs.remove(&run);
+        }
+        lead.results.extend(results);
+    }
+}
+
+fn end_name(end: &RunEnd) -> &'static str {
+    match end {
+        RunEnd::Completed(_) => "completed",
+        RunEnd::Broken(_) => "broken",
+        RunEnd::Failed => "failed",
+        RunEnd::Rejected => "rejected",
+        RunEnd::Refused => "refused",
+        RunEnd::Misdirected => "misdirected",
+        RunEnd::Unreachable => "unreachable",
+    }
+}
--- /dev/null
+++ b/crates/service/src/lib.rs
@@ -0,0 +1,25 @@
+//! A rollout service over a replicated store of batch jobs.
+//!
+//! Entries take callers' requests. Keepers hold the state by consensus; their leader knows the
+//! targets, runs the items of batch jobs, gives orders and reports usage. What an entry needs
+//! to know it gets from the leader's view. An adapter brings a deployment's protocols.
+
+pub mod choice;
+pub mod dialect;
+pub mod entry;
+pub mod events;
+pub mod forward;
+pub mod frames;
+pub mod jobs;
+pub mod keeper;
+pub mod link;
+pub mod logs;
+pub mod plan;
+pub mod pool;
+pub mod port;
+pub mod registry;
+pub mod run;
+pub mod schedule;
+pub mod state;
+pub mod usage;
+pub mod weights;
--- /dev/null
+++ b/crates/service/src/logs.rs
@@ -0,0 +1,59 @@
+//! Structured log lines on standard output, written by a thread of their own. A reader that
+//! stops reading costs lines, never time.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use spdlog::ErrorHandler;
+use spdlog::Level;
+use spdlog::LevelFilter;
+use spdlog::Logger;
+use spdlog::ThreadPool;
+use spdlog::formatter::JsonFormatter;
+use spdlog::sink::AsyncPoolSink;
+use spdlog::sink::OverflowPolicy;
+use spdlog::sink::SinkPropAccess;
+use spdlog::sink::StdStream;
+use spdlog::sink::StdStreamSink;
+
+/// Lines that wait to be written.
+const QUEUE_LINES: usize = 2_048;
+
+static DROPPED_LINES: AtomicU64 = AtomicU64::new(0);
+
+/// Returns how many lines were dropped since the queue was full.
+pub fn dropped_lines() -> u64 {
+    DROPPED_LINES.load(Ordering::Relaxed)
+}
+
+/// Sets up the process's logger.
+///
+/// # Errors
+///
+/// Returns an error if the sink or its thread can't be made.
+pub fn start_logs(verbose: bool) -> spdlog::Result<()> {
+    let stream = StdStreamSink::builder()
+        .std_stream(StdStream::Stdout)
+        .build()?;
+    stream.set_formatter(Box::new(JsonFormatter::new()));
+    let pool = ThreadPool::builder()
+        .capacity(std::num::NonZeroUsize::new(QUEUE_LINES).unwrap_or(std::num::NonZeroUsize::MIN))
+        .build_arc()?;
+    let sink = AsyncPoolSink::builder()
+        .sink(Arc::new(stream))
+        .overflow_policy(OverflowPolicy::DropIncoming)
+        .thread_pool(pool)
+        .error_handler(ErrorHandler::new(|_| {
+            DROPPED_LINES.fetch_add(1, Ordering::Relaxed);
+        }))
+        .build_arc()?;
+    let level = if verbose { Level::Debug } else { Level::Info };
+    let logger = Logger::builder()
+        .sink(sink)
+        .level_filter(LevelFilter::MoreSevereEqual(level))
+        .flush_level_filter(LevelFilter::All)
+        .build_arc()?;
+    spdlog::set_default_logger(logger);
+    Ok(())
+}
--- /dev/null
+++ b/crates/service/src/run.rs
@@ -0,0 +1,259 @@
+//! One run of an item at an engine, from its request to the end of its stream.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::HeaderName;
+use http::HeaderValue;
+use http::Request;
+use http::StatusCode;
+use http::header::HOST;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::dialect::RequestMarks;
+use crate::dialect::TargetDialect;
+use crate::events::EventReader;
+use crate::events::StreamEvent;
+use crate::pool::SendError;
+use crate::pool::TargetPool;
+use crate::schedule::PartialText;
+use crate::schedule::RunEnd;
+use bergamotlane_storage::clock::now;
+
+/// Silence of an engine after which a run is taken elsewhere.
+const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
+
+/// What a run asks of an engine.
+#[derive(Debug, Clone)]
+pub struct RunRequest {
+    /// Engine.
+    pub target: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Item.
+    pub item: String,
+    /// Path.
+    pub path: String,
+    /// Host.
+    pub host: String,
+    /// Headers of the item.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Bytes,
+    /// Customer.
+    pub customer: Option<String>,
+    /// Weight version that the engine should have.
+    pub version: u64,
+    /// Oldest weight version that may generate an event.
+    pub min_version: u64,
+    /// Text to go on from.
+    pub partial: PartialText,
+}
+
+/// How far a run has come, for others to look at.
+#[derive(Debug, Default)]
+pub struct RunProgress {
+    events: AtomicU32,
+    first_at: AtomicU64,
+    last_at: AtomicU64,
+}
+
+impl RunProgress {
+    fn saw_event(&self) {
+        let time = now().0;
+        if self.events.fetch_add(1, Ordering::Relaxed) == 0 {
+            self.first_at.store(time, Ordering::Relaxed);
+        }
+        self.last_at.store(time, Ordering::Relaxed);
+    }
+
+    /// Returns the time between events, in milliseconds, once it can be told. Silence counts
+    /// once it is longer than the mean.
+    pub fn pace_ms(&self) -> Option<f64> {
+        let gaps = self.events.load(Ordering::Relaxed).checked_sub(1)?;
+        let first = self.first_at.load(Ordering::Relaxed);
+        let last = self.last_at.load(Ordering::Relaxed);
+        let silence = now().0.saturating_sub(last) as f64;
+        let mean = match gaps {
+            0 => silence,
+            _ => last.saturating_sub(first) as f64 / f64::from(gaps),
+        };
+        (gaps > 0 || silence > 0.0).then_some(mean.max(silence))
+    }
+}
+
+/// Runs an item until its stream ends or `stop` fires.
+pub async fn run_item<D: TargetDialect>(
+    pool: Arc<TargetPool>,
+    dialect: D,
+    mut request: RunRequest,
+    progress: Arc<RunProgress>,
+    stop: oneshot::Receiver<()>,
+) -> RunEnd {
+    let mut partial = std::mem::take(&mut request.partial);
+    let end = {
+        let stream = stream_item(&pool, &dialect, &request, &mut partial, &progress);
+        tokio::select! {
+            end = stream => Some(end),
+            _ = stop => None,
+        }
+    };
+    match end {
+        Some(StreamEnd::Whole) => RunEnd::Completed(partial),
+        Some(StreamEnd::Broken) | None => RunEnd::Broken(partial),
+        Some(StreamEnd::Other(end)) => end,
+    }
+}
+
+enum StreamEnd {
+    Whole,
+    Broken,
+    Other(RunEnd),
+}
+
+async fn stream_item<D: TargetDialect>(
+    pool: &Arc<TargetPool>,
+    dialect: &D,
+    request: &RunRequest,
+    partial: &mut PartialText,
+    progress: &RunProgress,
+) -> StreamEnd {
+    let Some(message) = build(dialect, request, partial) else {
+        return StreamEnd::Other(RunEnd::Rejected);
+    };
+    let sent = pool.send(request.address, message, true);
+    let (response, lease) = match timeout(SILENCE_LIMIT, sent).await {
+        Ok(Ok(answer)) => answer,
+        Ok(Err(SendError::Connect)) => return StreamEnd::Other(RunEnd::Unreachable),
+        Ok(Err(SendError::Broken(_))) | Err(_) => return StreamEnd::Broken,
+    };
+    let marks = dialect.read_marks(response.headers());
+    let foreign = marks
+        .request_id
+        .as_ref()
+        .is_some_and(|it| *it != request.item);
+    if foreign {
+        return StreamEnd::Broken;
+    }
+    if !response.status().is_success() {
+        let end = failure_of(response.status(), marks.not_run);
+        let body = timeout(SILENCE_LIMIT, response.into_body().collect()).await;
+        if matches!(body, Ok(Ok(_))) {
+            lease.keep();
+        }
+        return end;
+    }
+    let version = marks.version.unwrap_or(request.version);
+    if !marks.is_stamped || version < request.min_version {
+        return StreamEnd::Broken;
+    }
+    let read = read_stream(dialect, response.into_body(), version, partial, progress);
+    match read.await {
+        true => {
+            lease.keep();
+            StreamEnd::Whole
+        }
+        false => StreamEnd::Broken,
+    }
+}
+
+fn failure_of(status: StatusCode, not_run: bool) -> StreamEnd {
+    StreamEnd::Other(match status {
+        StatusCode::MISDIRECTED_REQUEST => RunEnd::Misdirected,
+        _ if not_run => RunEnd::Refused,
+        StatusCode::UNPROCESSABLE_ENTITY => RunEnd::Rejected,
+        StatusCode::INTERNAL_SERVER_ERROR => RunEnd::Failed,
+        _ => return StreamEnd::Broken,
+    })
+}
+
+fn build<D: TargetDialect>(
+    dialect: &D,
+    request: &RunRequest,
+    partial: &PartialText,
+) -> Option<Request<Full<Bytes>>> {
+    let mut headers = HeaderMap::new();
+    headers.insert(HOST, HeaderValue::from_str(&request.host).ok()?);
+    for (name, value) in &request.headers {
+        let name = HeaderName::from_bytes(name.as_bytes()).ok()?;
+        headers.insert(name, HeaderValue::from_str(value).ok()?);
+    }
+    let marks = RequestMarks {
+        request_id: &request.item,
+        target: &request.target,
+        time_left_ms: None,
+        customer: request.customer.as_deref(),
+        version: Some(request.version),
+        last_event: partial.last_id,
+    };
+    dialect.mark(&mut headers, &marks);
+    let mut message = Request::post(&request.path)
+        .body(Full::new(request.body.clone()))
+        .ok()?;
+    *message.headers_mut() = headers;
+    Some(message)
+}
+
+/// Reads events to the end of the stream; returns whether it is whole.
+async fn read_stream<D: TargetDialect>(
+    dialect: &D,
+    mut body: Incoming,
+    mut version: u64,
+    partial: &mut PartialText,
+    progress: &RunProgress,
+) -> bool {
+    let mut reader = EventReader::default();
+    loop {
+        let frame = match timeout(SILENCE_LIMIT, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => return !reader.is_midway(),
+            Ok(Some(Err(_))) | Err(_) => return false,
+        };
+        let Some(bytes) = frame.data_ref() else {
+            continue;
+        };
+        if !reader.push(bytes) {
+            return false;
+        }
+        while let Some(event) = reader.next_event() {
+            if let Some(changed) = version_of(dialect, &event) {
+                version = changed;
+            }
+            if !take_event(event, version, partial) {
+                return false;
+            }
+            progress.saw_event();
+        }
+    }
+}
+
+fn version_of<D: TargetDialect>(dialect: &D, event: &StreamEvent) -> Option<u64> {
+    event.others.iter().find_map(|it| dialect.version_line(it))
+}
+
+/// Adds an event to the text; returns whether it follows the last one.
+fn take_event(event: StreamEvent, version: u64, partial: &mut PartialText) -> bool {
+    let (Some(id), Some(data)) = (event.id, event.data) else {
+        return false;
+    };
+    let follows = match partial.last_id {
+        Some(last) => id == last + 1,
+        None => id <= 1,
+    };
+    if follows {
+        partial.events.push(data);
+        partial.last_id = Some(id);
+        partial.saw_version(version);
+    }
+    follows
+}
--- /dev/null
+++ b/crates/service/src/schedule.rs
@@ -0,0 +1,549 @@
+//! Which item of which batch job runs on which engine, and when.
+//!
+//! Jobs go by due time, items in the order of their submission, so carried-over groups come
+//! first. Among the engines that may run an item, one that runs its group is preferred, since
+//! it has read the shared prompt; else the one with the least expected time (outstanding runs
+//! weighted by the engine's pace). Runs on an engine that has become much slower than the
+//! others are moved on while faster engines have room. An engine that fails is held back with
+//! growing pauses (circuit breaking).
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+
+use crate::jobs::ItemEnd;
+use crate::jobs::ItemResult;
+use bergamotlane_coordination::clock::ClockTime;
+
+/// Pause after an engine refused work, in milliseconds.
+const REFUSAL_PAUSE_MS: u64 = 120;
+
+/// First pause after an engine failed, in milliseconds; it doubles with each failure.
+const FAILURE_PAUSE_MS: u64 = 300;
+
+/// Longest pause after failures, in milliseconds.
+const LONGEST_PAUSE_MS: u64 = 4_000;
+
+/// Pace against the median from which an engine counts as slow.
+const SLOW_FACTOR: f64 = 2.2;
+
+/// Time that a run gets before it may be moved, in milliseconds.
+const SETTLED_RUN_MS: u64 = 400;
+
+/// Weight of a new observation in an engine's pace.
+const PACE_WEIGHT: f64 = 0.3;
+
+/// Time between events that an engine is expected to need before it is known, in
+/// milliseconds.
+const DEFAULT_PACE_MS: f64 = 40.0;
+
+/// Extra running share that makes up for the lost shared prompt.
+const GROUP_BONUS: f64 = 0.5;
+
+/// Identity of one run of an item.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RunKey(pub u64);
+
+/// What of a job matters for its runs.
+#[derive(Debug, Clone)]
+pub struct JobTerms {
+    /// Time by which all results are due.
+    pub due: ClockTime,
+    /// Time from which items may be given up.
+    pub expires: ClockTime,
+    /// Service whose engines run the items.
+    pub service: String,
+    /// Model.
+    pub model: String,
+    /// Oldest weight version allowed.
+    pub min_version: u64,
+    /// Whether a text must come from one version.
+    pub single_version: bool,
+    /// Failed attempts after which an item is given up.
+    pub max_attempts: u32,
+}
+
+/// An engine that may take work now.
+#[derive(Debug, Clone)]
+pub struct EngineSlot {
+    /// ID.
+    pub id: String,
+    /// Service.
+    pub service: String,
+    /// Runs that it takes at once.
+    pub capacity: u32,
+    /// Weight version by model.
+    pub models: BTreeMap<String, u64>,
+    /// Starts allowed within one second, if the engine is cold.
+    pub starts_per_s: Option<u32>,
+}
+
+/// Text that a run has produced so far.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct PartialText {
+    /// Data of the events so far.
+    pub events: Vec<Bytes>,
+    /// ID of the last event.
+    pub last_id: Option<u64>,
+    /// Versions that generated them, ascending.
+    pub versions: Vec<u64>,
+}
+
+impl PartialText {
+    /// Adds a version.
+    pub fn saw_version(&mut self, version: u64) {
+        if let Err(place) = self.versions.binary_search(&version) {
+            self.versions.insert(place, version);
+        }
+    }
+
+    fn text(&self) -> Bytes {
+        let mut text = BytesMut::new();
+        for (place, event) in self.events.iter().enumerate() {
+            if place > 0 {
+                text.extend_from_slice(b"\n");
+            }
+            text.extend_from_slice(event);
+        }
+        text.freeze()
+    }
+
+    fn fits(&self, terms: &JobTerms, version: u64) -> bool {
+        let fresh = self.versions.iter().all(|it| *it >= terms.min_version);
+        let single = !terms.single_version || self.versions.iter().all(|it| *it == version);
+        fresh && single
+    }
+}
+
+/// How a run ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum RunEnd {
+    /// The stream is whole.
+    Completed(PartialText),
+    /// The stream broke; another run can go on.
+    Broken(PartialText),
+    /// The engine reported a failure of the item.
+    Failed,
+    /// The engine reported that the item can never be done.
+    Rejected,
+    /// The engine did not run the item.
+    Refused,
+    /// Another engine, or other weights, answered; nothing ran.
+    Misdirected,
+    /// The engine could not be reached.
+    Unreachable,
+}
+
+/// A run to start.
+#[derive(Debug, Clone)]
+pub struct RunStart {
+    /// Run.
+    pub run: RunKey,
+    /// Job.
+    pub job: String,
+    /// Place of the item in its job.
+    pub item: u32,
+    /// Engine.
+    pub engine: String,
+    /// Weight version that the engine should have.
+    pub version: u64,
+    /// Text to go on from.
+    pub partial: PartialText,
+}
+
+#[derive(Debug)]
+struct JobQueue {
+    terms: JobTerms,
+    groups: Vec<u32>,
+    waiting: VecDeque<u32>,
+    partials: HashMap<u32, PartialText>,
+    failures: HashMap<u32, u32>,
+    group_engine: HashMap<u32, String>,
+}
+
+#[derive(Debug)]
+struct ActiveRun {
+    job: String,
+    item: u32,
+    engine: String,
+    started: ClockTime,
+    stopping: bool,
+}
+
+#[derive(Debug)]
+struct EngineLoad {
+    running: u32,
+    pace_ms: f64,
+    held_until: ClockTime,
+    failures: u32,
+    starts: VecDeque<ClockTime>,
+}
+
+impl Default for EngineLoad {
+    fn default() -> Self {
+        Self {
+            running: 0,
+            pace_ms: DEFAULT_PACE_MS,
+            held_until: ClockTime::default(),
+            failures: 0,
+            starts: VecDeque::new(),
+        }
+    }
+}
+
+/// The scheduler.
+#[derive(Debug, Default)]
+pub struct StepScheduler {
+    jobs: BTreeMap<String, JobQueue>,
+    runs: BTreeMap<RunKey, ActiveRun>,
+    loads: HashMap<String, EngineLoad>,
+    next_run: u64,
+}
+
+impl StepScheduler {
+    /// Takes a job; `groups` names the group of each item, `open` the items still to run.
+    pub fn admit(&mut self, id: &str, terms: JobTerms, groups: Vec<u32>, open: Vec<u32>) {
+        let queue = JobQueue {
+            terms,
+            groups,
+            waiting: open.into(),
+            partials: HashMap::new(),
+            failures: HashMap::new(),
+            group_engine: HashMap::new(),
+        };
+        self.jobs.entry(id.to_owned()).or_insert(queue);
+    }
+
+    /// Returns whether a job is known.
+    pub fn contains(&self, job: &str) -> bool {
+        self.jobs.contains_key(job)
+    }
+
+    /// Sends a job's later runs to another service.
+    pub fn set_service(&mut self, job: &str, service: &str) {
+        if let Some(queue) = self.jobs.get_mut(job)
+            && queue.terms.service != service
+        {
+            service.clone_into(&mut queue.terms.service);
+            queue.group_engine.clear();
+        }
+    }
+
+    /// Returns the jobs.
+    pub fn jobs(&self) -> impl Iterator<Item = (&String, &JobTerms)> {
+        self.jobs.iter().map(|(id, queue)| (id, &queue.terms))
+    }
+
+    /// Returns how many runs an engine has.
+    pub fn running(&self, engine: &str) -> u32 {
+        self.loads.get(engine).map_or(0, |it| it.running)
+    }
+
+    /// Returns how many items wait for an engine.
+    pub fn waiting(&self) -> usize {
+        self.jobs.values().map(|it| it.waiting.len()).sum()
+    }
+
+    /// Drops a job and returns its runs, which must be stopped.
+    pub fn drop_job(&mut self, job: &str) -> Vec<RunKey> {
+        self.jobs.remove(job);
+        let runs = self.runs.iter().filter(|(_, run)| run.job == job);
+        let keys: Vec<RunKey> = runs.map(|(key, _)| *key).collect();
+        for key in &keys {
+            self.remove_run(*key);
+        }
+        keys
+    }
+
+    /// Drops everything, as when the lead is lost.
+    pub fn clear(&mut self) {
+        *self = Self {
+            next_run: self.next_run,
+            ..Self::default()
+        };
+    }
+
+    /// Removes items that are past their time to live, with the runs to stop.
+    pub fn expire(&mut self, now: ClockTime) -> (Vec<(String, ItemResult)>, Vec<RunKey>) {
+        let mut results = Vec::new();
+        let mut stopped = Vec::new();
+        for (id, queue) in &mut self.jobs {
+            if now < queue.terms.expires {
+                continue;
+            }
+            let items: Vec<u32> = queue.waiting.drain(..).collect();
+            results.extend(items.into_iter().map(|it| (id.clone(), given_up(it))));
+            for (key, run) in self.runs.iter().filter(|(_, run)| run.job == *id) {
+                results.push((id.clone(), given_up(run.item)));
+                stopped.push(*key);
+            }
+        }
+        for key in &stopped {
+            self.remove_run(*key);
+        }
+        (results, stopped)
+    }
+
+    /// Assigns waiting items to engines.
+    pub fn assign(&mut self, now: ClockTime, engines: &[EngineSlot]) -> Vec<RunStart> {
+        let mut order: Vec<(ClockTime, String)> = self
+            .jobs
+            .iter()
+            .filter(|(_, queue)| !queue.waiting.is_empty())
+            .map(|(id, queue)| (queue.terms.due, id.clone()))
+            .collect();
+        order.sort();
+        let mut starts = Vec::new();
+        for (_, id) in order {
+            self.assign_job(now, &id, engines, &mut starts);
+        }
+        starts
+    }
+
+    fn assign_job(
+        &mut self,
+        now: ClockTime,
+        id: &str,
+        engines: &[EngineSlot],
+        starts: &mut Vec<RunStart>,
+    ) {
+        let Some(mut queue) = self.jobs.remove(id) else {
+            return;
+        };
+        let mut skipped = VecDeque::new();
+        while let Some(item) = queue.waiting.pop_front() {
+            let group = queue.groups[item as usize];
+            let preferred = queue.group_engine.get(&group).map(String::as_str);
+            let Some(engine) = self.choose(now, &queue.terms, engines, preferred) else {
+                skipped.push_back(item);
+                break;
+            };
+            let version = engine
+                .models
+                .get(&queue.terms.model)
+                .copied()
+                .unwrap_or_default();
+            let partial = queue.partials.remove(&item).unwrap_or_default();
+            let partial = match partial.fits(&queue.terms, version) {
+                true => partial,
+                false => PartialText::default(),
+            };
+            queue.group_engine.insert(group, engine.id.clone());
+            self.next_run += 1;
+            let run = RunKey(self.next_run);
+            let load = self.loads.entry(engine.id.clone()).or_default();
+            load.running += 1;
+            load.starts.push_back(now);
+            let active = ActiveRun {
+                job: id.to_owned(),
+                item,
+                engine: engine.id.clone(),
+                started: now,
+                stopping: false,
+            };
+            self.runs.insert(run, active);
+            starts.push(RunStart {
+                run,
+                job: id.to_owned(),
+                item,
+                engine: engine.id.clone(),
+                version,
+                partial,
+            });
+        }
+        skipped.append(&mut queue.waiting);
+        queue.waiting = skipped;
+        self.jobs.insert(id.to_owned(), queue);
+    }
+
+    fn choose<'a>(
+        &mut self,
+        now: ClockTime,
+        terms: &JobTerms,
+        engines: &'a [EngineSlot],
+        preferred: Option<&str>,
+    ) -> Option<&'a EngineSlot> {
+        let mut best: Option<(f64, &EngineSlot)> = None;
+        for engine in engines {
+            if engine.service != terms.service {
+                continue;
+            }
+            let version = engine.models.get(&terms.model).copied().unwrap_or_default();
+            if version < terms.min_version {
+                continue;
+            }
+            let load = self.loads.entry(engine.id.clone()).or_default();
+            if load.running >= engine.capacity || now < load.held_until {
+                continue;
+            }
+            while load
+                .starts
+                .front()
+                .is_some_and(|it| now.since(*it) >= 1_000)
+            {
+                load.starts.pop_front();
+            }
+            let budget = engine.starts_per_s;
+            if budget.is_some_and(|it| load.starts.len() as u32 >= it) {
+                continue;
+            }
+            let share = f64::from(load.running + 1) / f64::from(engine.capacity.max(1));
+            let bonus = match preferred == Some(engine.id.as_str()) {
+                true => GROUP_BONUS,
+                false => 0.0,
+            };
+            let cost = (1.0 + share - bonus) * load.pace_ms;
+            if best.as_ref().is_none_or(|(least, _)| cost < *least) {
+                best = Some((cost, engine));
+            }
+        }
+        best.map(|(_, engine)| engine)
+    }
+
+    fn remove_run(&mut self, key: RunKey) -> Option<ActiveRun> {
+        let run = self.runs.remove(&key)?;
+        if let Some(load) = self.loads.get_mut(&run.engine) {
+            load.running = load.running.saturating_sub(1);
+        }
+        Some(run)
+    }
+
+    /// Notes how fast a run gets its events.
+    pub fn observe(&mut self, key: RunKey, pace_ms: f64) {
+        let Some(run) = self.runs.get(&key) else {
+            return;
+        };
+        if let Some(load) = self.loads.get_mut(&run.engine) {
+            load.pace_ms += (pace_ms - load.pace_ms) * PACE_WEIGHT;
+        }
+    }
+
+    /// Returns the runs on slow engines that a faster one with room could take over.
+    pub fn slow_runs(&mut self, now: ClockTime, engines: &[EngineSlot]) -> Vec<RunKey> {
+        let mut paces: Vec<f64> = engines
+            .iter()
+            .filter_map(|it| self.loads.get(&it.id))
+            .map(|it| it.pace_ms)
+            .collect();
+        if paces.len() < 3 {
+            return Vec::new();
+        }
+        paces.sort_by(f64::total_cmp);
+        let limit = paces[paces.len() / 2] * SLOW_FACTOR;
+        let is_slow = |id: &str| self.loads.get(id).is_some_and(|it| it.pace_ms > limit);
+        let mut room: u32 = engines
+            .iter()
+            .filter(|it| !is_slow(&it.id))
+            .map(|it| it.capacity.saturating_sub(self.running(&it.id)))
+            .sum();
+        let mut moved = Vec::new();
+        for (key, run) in &mut self.runs {
+            let slow = self
+                .loads
+                .get(&run.engine)
+                .is_some_and(|it| it.pace_ms > limit);
+            let settled = now.since(run.started) >= SETTLED_RUN_MS;
+            if slow && settled && !run.stopping && room > 0 {
+                run.stopping = true;
+                room -= 1;
+                moved.push(*key);
+            }
+        }
+        moved
+    }
+
+    /// Returns the runs on engines that are no longer among those named.
+    pub fn runs_outside(&self, keep: impl Fn(&str) -> bool) -> Vec<RunKey> {
+        let outside = self.runs.iter().filter(|(_, run)| !keep(&run.engine));
+        outside.map(|(key, _)| *key).collect()
+    }
+
+    /// Takes the end of a run; returns the result to list, if the item is done with.
+    pub fn ended(
+        &mut self,
+        now: ClockTime,
+        key: RunKey,
+        end: RunEnd,
+    ) -> Option<(String, ItemResult)> {
+        let run = self.remove_run(key)?;
+        self.note_engine(now, &run, &end);
+        let queue = self.jobs.get_mut(&run.job)?;
+        match end {
+            RunEnd::Completed(partial) => {
+                let fresh = partial
+                    .versions
+                    .iter()
+                    .all(|it| *it >= queue.terms.min_version);
+                let single = !queue.terms.single_version || partial.versions.len() == 1;
+                if !fresh || !single || partial.versions.is_empty() {
+                    queue.waiting.push_front(run.item);
+                    return None;
+                }
+                let result = ItemResult {
+                    item: run.item,
+                    end: ItemEnd::Completed,
+                    text: partial.text(),
+                    versions: partial.versions,
+                };
+                return Some((run.job, result));
+            }
+            RunEnd::Broken(partial) => {
+                queue.partials.insert(run.item, partial);
+            }
+            RunEnd::Failed => {
+                let failures = queue.failures.entry(run.item).or_default();
+                *failures += 1;
+                if *failures >= queue.terms.max_attempts {
+                    return Some((run.job, given_up(run.item)));
+                }
+            }
+            RunEnd::Rejected => return Some((run.job, given_up(run.item))),
+            RunEnd::Refused | RunEnd::Misdirected | RunEnd::Unreachable => {}
+        }
+        queue.waiting.push_front(run.item);
+        None
+    }
+
+    fn note_engine(&mut self, now: ClockTime, run: &ActiveRun, end: &RunEnd) {
+        let Some(load) = self.loads.get_mut(&run.engine) else {
+            return;
+        };
+        match end {
+            RunEnd::Completed(_) | RunEnd::Rejected | RunEnd::Failed => load.failures = 0,
+            RunEnd::Refused | RunEnd::Misdirected => {
+                load.held_until = load.held_until.max(now + REFUSAL_PAUSE_MS);
+            }
+            RunEnd::Broken(_) if run.stopping => {}
+            RunEnd::Broken(partial) if !partial.events.is_empty() && load.failures == 0 => {
+                load.failures = 1;
+            }
+            RunEnd::Broken(_) | RunEnd::Unreachable => {
+                // Runs that were started before the pause began tell nothing new.
+                if now >= load.held_until {
+                    let pause = FAILURE_PAUSE_MS << load.failures.min(4);
+                    load.held_until = now + pause.min(LONGEST_PAUSE_MS);
+                    load.failures += 1;
+                }
+            }
+        }
+    }
+
+    /// Puts an item whose text is whole already out of the queue.
+    pub fn take_out(&mut self, job: &str, item: u32) {
+        if let Some(queue) = self.jobs.get_mut(job) {
+            queue.waiting.retain(|it| *it != item);
+        }
+    }
+}
+
+fn given_up(item: u32) -> ItemResult {
+    ItemResult {
+        item,
+        end: ItemEnd::Terminated,
+        text: Bytes::new(),
+        versions: Vec::new(),
+    }
+}
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,19 @@
+//! Durable state of a consensus node: identity, snapshot and log in one data folder, and the
+//! clock that leases are measured by.
+
+pub mod clock;
+mod file;
+mod folder;
+mod record;
+mod recovery;
+mod voter;
+
+#[cfg(test)]
+mod tests;
+
+pub use folder::DataFolder;
+pub use folder::FolderContent;
+pub use folder::FolderIdentity;
+pub use folder::StorageError;
+pub use voter::DiskVoter;
+pub use voter::SnapshotTerms;
--- a/crates/daemon/src/control/voter.rs
+++ b/crates/storage/src/voter.rs
@@ -1,17 +1,29 @@
 //! An instance with a disk: its consensus node and its data folder.
 
-use crate::storage::DataFolder;
-use crate::storage::StorageError;
+use crate::folder::DataFolder;
+use crate::folder::StorageError;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::consensus::ConsensusNode;
 use bergamotlane_coordination::consensus::ConsensusOutput;
 use bergamotlane_coordination::consensus::NodeRole;
 
-/// Log size after which a snapshot is taken, in bytes.
-const SNAPSHOT_AFTER_BYTES: u64 = 8 * 1024 * 1024;
+/// When a snapshot replaces the log.
+#[derive(Debug, Clone, Copy)]
+pub struct SnapshotTerms {
+    /// Log size after which a snapshot is taken, in bytes.
+    pub log_bytes: u64,
+    /// Entries after which a snapshot is taken.
+    pub entries: u64,
+}
 
-/// Entries after which a snapshot is taken.
-const SNAPSHOT_AFTER_ENTRIES: u64 = 4_096;
+impl Default for SnapshotTerms {
+    fn default() -> Self {
+        Self {
+            log_bytes: 8 * 1024 * 1024,
+            entries: 4_096,
+        }
+    }
+}
 
 /// Consensus node with its storage.
 #[derive(Debug)]
@@ -20,6 +32,8 @@
     pub node: ConsensusNode,
     /// The folder.
     pub folder: DataFolder,
+    /// When a snapshot replaces the log.
+    pub snapshots: SnapshotTerms,
 }
 
 impl DiskVoter {
@@ -60,8 +74,8 @@
     pub fn wants_snapshot(&self) -> bool {
         let log = self.node.log();
         let entries = log.last_index() - log.snapshot().index;
-        let much = self.folder.log_bytes() > SNAPSHOT_AFTER_BYTES;
-        entries > SNAPSHOT_AFTER_ENTRIES || (much && entries > 0)
+        let much = self.folder.log_bytes() > self.snapshots.log_bytes;
+        entries > self.snapshots.entries || (much && entries > 0)
     }
 
     /// Returns whether the node leads.
