--- a/crates/coordination/src/consensus/election.rs
+++ b/crates/coordination/src/consensus/election.rs
@@ -14,6 +14,9 @@
 /// Term and index of a log's last entry, in the order that compares logs.
 pub(super) type LogEnd = (u64, u64);
 
+/// Spread of elections once it is known that nobody leads, in milliseconds.
+const IDLE_SPREAD_MS: u64 = 120;
+
 impl ConsensusNode {
     fn log_end(&self) -> LogEnd {
         (self.log.last_term(), self.log.last_index())
@@ -27,6 +30,47 @@
         }
     }
 
+    /// Returns what this node may say of its standing.
+    ///
+    /// A candidate may still win its term, so it speaks for the terms before only.
+    pub fn standing(&self) -> ConsensusMessage {
+        let undecided = self.role == NodeRole::Candidate;
+        ConsensusMessage::Standing {
+            term: self.vote.term - u64::from(undecided),
+            leads: self.role == NodeRole::Leader,
+        }
+    }
+
+    /// Takes another node's standing. A promise protects a leader's lease, so it is void once
+    /// every other voter says that it doesn't lead, in this term or a later one.
+    pub(super) fn on_standing(
+        &mut self,
+        now: ClockTime,
+        from: NodeId,
+        term: u64,
+        leads: bool,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
+        if leads {
+            self.idle.remove(&from);
+            return;
+        }
+        self.idle.insert(from, term);
+        if self.leader == Some(from) && term >= self.vote.term {
+            self.leader = None;
+            let message = self.standing();
+            self.send_voters(&message, out);
+        }
+        let others = self.membership().voters.keys();
+        let mut others = others.filter(|it| **it != self.node);
+        let idle = others.all(|it| self.idle.get(it).is_some_and(|at| *at >= self.vote.term));
+        let waits = self.role != NodeRole::Leader && now < self.promise_until;
+        if idle && waits && self.membership().is_voter(self.node) {
+            self.promise_until = now;
+            self.election_due = self.soon(now, IDLE_SPREAD_MS);
+        }
+    }
+
     pub(super) fn start_pre_vote(&mut self, now: ClockTime, out: &mut Vec<ConsensusOutput>) {
         self.change_role(RoleEvent::ElectionDue, out);
         self.leader = None;
--- a/crates/coordination/src/consensus/message.rs
+++ b/crates/coordination/src/consensus/message.rs
@@ -106,4 +106,12 @@
         /// Term of the leader.
         term: u64,
     },
+    /// Says whether the sender leads. One that does not never will in this term or an
+    /// earlier one.
+    Standing {
+        /// Newest term that the statement covers.
+        term: u64,
+        /// Whether the sender leads.
+        leads: bool,
+    },
 }
--- a/crates/coordination/src/consensus/node.rs
+++ b/crates/coordination/src/consensus/node.rs
@@ -137,6 +137,8 @@
     pub(super) progress: BTreeMap<NodeId, PeerProgress>,
     pub(super) rounds: RoundTable,
     pub(super) lease_given_up: bool,
+    /// Terms up to which other voters have said that they don't lead.
+    pub(super) idle: BTreeMap<NodeId, u64>,
     chart: StateChart<NodeRole, RoleEvent>,
     random: StdRng,
 }
@@ -170,6 +172,7 @@
             progress: BTreeMap::new(),
             rounds: RoundTable::default(),
             lease_given_up: false,
+            idle: BTreeMap::new(),
             chart,
             random: StdRng::seed_from_u64(start.seed ^ start.node.0),
         };
@@ -342,6 +345,9 @@
                     self.on_append_reply(now, from, matched, prev_index, hint, out);
                 }
             }
+            ConsensusMessage::Standing { term, leads } => {
+                self.on_standing(now, from, term, leads, out);
+            }
             ConsensusMessage::Campaign { term } => {
                 if term == self.vote.term && self.leader == Some(from) {
                     self.start_asked_election(now, out);
@@ -355,6 +361,11 @@
         membership.voters.len() == 1 && membership.is_voter(self.node)
     }
 
+    /// Returns a random time for the next election, at most `spread` from now.
+    pub(super) fn soon(&mut self, now: ClockTime, spread: u64) -> ClockTime {
+        now + self.random.random_range(0..=spread)
+    }
+
     pub(super) fn reset_election(&mut self, now: ClockTime) {
         let spread = self.random.random_range(0..=self.config.election_spread_ms);
         self.election_due = now + self.config.lease_ms + spread;
--- a/crates/coordination/src/consensus/tests.rs
+++ b/crates/coordination/src/consensus/tests.rs
@@ -368,8 +368,27 @@
         }
     }
 
+    /// Tells a random member this one's standing, as a new connection does.
+    fn tell_standing(&mut self, id: NodeId) {
+        if !self.random.random_ratio(1, 12) {
+            return;
+        }
+        let others: Vec<NodeId> = self
+            .members
+            .keys()
+            .copied()
+            .filter(|it| *it != id)
+            .collect();
+        let to = others[self.random.random_range(0..others.len())];
+        let standing = self.members[&id].node.as_ref().map(ConsensusNode::standing);
+        if let Some(message) = standing {
+            self.send(id, to, message);
+        }
+    }
+
     /// Proposes commands and repairs, compacts, and notes what was accepted.
     fn work(&mut self, id: NodeId) {
+        self.tell_standing(id);
         let propose = self.random.random_ratio(1, self.pause_steps);
         let value = self.proposals + 1;
         let Some(node) = self.members[&id].node.as_ref() else {
@@ -559,6 +578,102 @@
     }));
 }
 
+fn three_voters() -> GroupMembership {
+    let record = |node: u64| MemberRecord {
+        name: format!("n{node}"),
+        address: String::new(),
+        zone: String::new(),
+    };
+    GroupMembership {
+        voters: (1..=3).map(|node| (NodeId(node), record(node))).collect(),
+        ..GroupMembership::default()
+    }
+}
+
+fn restarted(now: ClockTime, term: u64) -> ConsensusNode {
+    let snapshot = LogSnapshot {
+        index: 1,
+        term: 1,
+        membership: three_voters(),
+        data: Bytes::new(),
+    };
+    let start = NodeStart {
+        node: NodeId(1),
+        vote: VoteRecord {
+            term,
+            voted_for: None,
+        },
+        log: ReplicatedLog::new(snapshot, Vec::new()),
+        seed: 7,
+    };
+    ConsensusNode::new(now, ConsensusConfig::default(), start)
+}
+
+/// A candidate sends a pre-vote 200 ms after the start; whether it is granted.
+fn grants_early(standings: &[(u64, u64, bool)]) -> bool {
+    let now = ClockTime(10_000);
+    let mut node = restarted(now, 4);
+    let mut out = Vec::new();
+    for (from, term, leads) in standings {
+        let message = ConsensusMessage::Standing {
+            term: *term,
+            leads: *leads,
+        };
+        node.receive(now + 100, NodeId(*from), message, &mut out);
+    }
+    out.clear();
+    let message = ConsensusMessage::PreVote {
+        term: 5,
+        last_index: 1,
+        last_term: 1,
+    };
+    node.receive(now + 200, NodeId(2), message, &mut out);
+    out.iter().any(|it| {
+        matches!(
+            it,
+            ConsensusOutput::Send {
+                message: ConsensusMessage::PreVoteReply { granted: true, .. },
+                ..
+            }
+        )
+    })
+}
+
+#[rstest]
+#[case::nobody_spoke(&[], false)]
+#[case::one_is_silent(&[(2, 4, false)], false)]
+#[case::one_leads(&[(2, 4, false), (3, 4, true)], false)]
+#[case::one_speaks_of_an_older_term(&[(2, 4, false), (3, 3, false)], false)]
+#[case::one_led_before_it_spoke_again(&[(2, 4, false), (3, 4, true), (3, 4, false)], true)]
+#[case::nobody_leads(&[(2, 4, false), (3, 4, false)], true)]
+fn a_promise_is_void_once_every_other_voter_says_that_it_does_not_lead(
+    #[case] standings: &[(u64, u64, bool)],
+    #[case] granted: bool,
+) {
+    assert_eq!(grants_early(standings), granted);
+}
+
+#[test]
+fn a_candidate_does_not_speak_for_the_term_that_it_may_win() {
+    let now = ClockTime(10_000);
+    let mut node = restarted(now, 4);
+    let mut out = Vec::new();
+    node.tick(now + 5_000, &mut out);
+    for from in [2, 3] {
+        let message = ConsensusMessage::PreVoteReply {
+            term: 5,
+            granted: true,
+        };
+        node.receive(now + 5_010, NodeId(from), message, &mut out);
+    }
+    assert_eq!((node.role(), node.term()), (NodeRole::Candidate, 5));
+    let standing = ConsensusMessage::Standing {
+        term: 4,
+        leads: false,
+    };
+    assert_eq!(node.standing(), standing);
+}
+
 #[test]
 fn a_voter_refuses_a_candidate_that_lacks_entries() {
     let mut harness = Harness::new(7, 3, 0);
--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -15,8 +15,10 @@
 
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
+use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
+use tokio::time::timeout;
 
 use crate::dialect::TargetDialect;
 use crate::forward::Forwarder;
@@ -58,6 +60,7 @@
     /// Passes plain requests on.
     pub forwarder: Forwarder<D>,
     index: Mutex<Option<Arc<RouteIndex>>>,
+    known: watch::Sender<bool>,
     entries: AtomicU32,
     draining: AtomicBool,
     view_at: AtomicU64,
@@ -72,6 +75,16 @@
             .clone()
     }
 
+    /// Returns the routes in force, and waits for them while the process has just started.
+    pub async fn wait_for_routes(&self, limit: Duration) -> Option<Arc<RouteIndex>> {
+        if let Some(routes) = self.routes() {
+            return Some(routes);
+        }
+        let mut known = self.known.subscribe();
+        timeout(limit, known.wait_for(|it| *it)).await.ok()?.ok()?;
+        self.routes()
+    }
+
     /// Returns whether new callers are welcome.
     pub fn is_ready(&self) -> bool {
         !self.is_draining() && self.routes().is_some()
@@ -145,6 +158,7 @@
         port,
         forwarder: Forwarder::new(dialect, &settings.zone, settings.usage_window_ms),
         index: Mutex::new(None),
+        known: watch::Sender::new(false),
         entries: AtomicU32::new(1),
         draining: AtomicBool::new(false),
         view_at: AtomicU64::new(0),
@@ -313,6 +327,8 @@
         }
         spdlog::info!("view: plan", kv: { version = plan.version, routes = plan.routes.len(), term = self.view_term });
         *index = Some(Arc::new(RouteIndex::new(plan)));
+        drop(index);
+        self.shared.known.send_replace(true);
     }
 
     fn on_request(&mut self, request: CallRequest) {
--- a/crates/service/src/jobs.rs
+++ b/crates/service/src/jobs.rs
@@ -16,6 +16,7 @@
     /// Headers to send along.
     pub headers: Vec<(String, String)>,
     /// Request body.
+    #[serde(with = "crate::payload")]
     pub body: Bytes,
     /// Prompt tokens and the most output tokens together.
     pub tokens: u64,
@@ -61,6 +62,7 @@
     /// How it ended.
     pub end: ItemEnd,
     /// Data of all events, joined by line feeds.
+    #[serde(with = "crate::payload")]
     pub text: Bytes,
     /// Weight versions that generated the text, ascending.
     pub versions: Vec<u64>,
@@ -138,7 +140,10 @@
         }
         let place = result.item as usize;
         job.listed[place] = true;
-        job.submission.items[place].body = Bytes::new();
+        let item = &mut job.submission.items[place];
+        item.body = Bytes::new();
+        item.headers = Vec::new();
+        item.path = String::new();
         job.results.push(result);
         true
     }
@@ -152,6 +157,7 @@
         for item in &mut job.submission.items {
             item.body = Bytes::new();
             item.headers = Vec::new();
+            item.path = String::new();
         }
         true
     }
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -42,6 +43,10 @@
 use bergamotlane_storage::FolderContent;
 use bergamotlane_storage::SnapshotTerms;
 use bergamotlane_storage::clock::now;
+use bergamotlane_storage::load_record;
+use bergamotlane_storage::save_record;
+use bergamotlane_wire::ConsensusMessageWire;
+use bergamotlane_wire::codec;
 
 /// Time between two looks at the timers.
 const TICK: Duration = Duration::from_millis(20);
@@ -52,6 +57,12 @@
 /// Time for which a keeper that is gone is still dialled, in milliseconds.
 const KEEPER_KEPT_MS: u64 = 30_000;
 
+/// File that holds the targets known last.
+const TARGETS_FILE: &str = "targets";
+
+/// Longest time for which a change of the targets is not saved, in milliseconds.
+const TARGETS_PAUSE_MS: u64 = 700;
+
 /// Pause before a failed data folder is opened again, in milliseconds.
 const REOPEN_PAUSE_MS: u64 = 500;
 
@@ -103,9 +114,24 @@
     pub(super) leader: Option<(u64, LinkId)>,
     pub(super) lead: Option<LeadState>,
     pub(super) last_targets: Vec<TargetView>,
+    pub(super) targets_due: Option<ClockTime>,
     pub(super) tally: UsageTally,
 }
 
+/// Returns the targets that were known when the process last ran.
+fn load_targets(data: &Path) -> Vec<TargetView> {
+    let Some(record) = load_record(&data.join(TARGETS_FILE)) else {
+        return Vec::new();
+    };
+    match codec::decode(&record) {
+        Ok(targets) => targets,
+        Err(error) => {
+            spdlog::warn!("storage: targets unreadable", kv: { error = error.to_string() });
+            Vec::new()
+        }
+    }
+}
+
 fn open_voter(folder: DataFolder, content: FolderContent, time: ClockTime) -> DiskVoter {
     let start = NodeStart {
         node: NodeId(folder.identity().node),
@@ -131,6 +157,7 @@
         events: mpsc::UnboundedSender<KeeperEvent>,
     ) -> Self {
         let time = now();
+        let last_targets = load_targets(&settings.data);
         let mut core = Self {
             voter: Some(open_voter(folder.0, folder.1, time)),
             settings,
@@ -152,7 +179,8 @@
             next_call: 0,
             leader: None,
             lead: None,
-            last_targets: Vec::new(),
+            last_targets,
+            targets_due: None,
             tally: UsageTally::default(),
         };
         core.restore_from_disk();
@@ -247,9 +275,23 @@
         if fresh {
             self.dial();
         }
+        self.tell_standing(link);
         self.welcome(link);
     }
 
+    /// Tells another keeper whether this one leads, so that it need not wait for a leader that
+    /// is gone.
+    fn tell_standing(&self, link: LinkId) {
+        let to_keeper = self
+            .links
+            .get(&link)
+            .is_some_and(|(hello, dialled)| *dialled && hello.node.is_some());
+        if let Some(voter) = self.voter.as_ref().filter(|_| to_keeper) {
+            let wire = ConsensusMessageWire::from(&voter.node.standing());
+            self.hub.send(link, &LinkFrame::Consensus(wire));
+        }
+    }
+
     fn on_link_down(&mut self, link: LinkId) {
         self.links.remove(&link);
         if self.leader.is_some_and(|(_, it)| it == link) {
@@ -282,6 +324,7 @@
             LinkFrame::View(view) => {
                 if let Some(targets) = view.targets {
                     self.last_targets = targets;
+                    self.targets_changed();
                 }
                 self.on_hint(
                     link,
@@ -306,7 +349,27 @@
         }
     }
 
-    fn on_consensus(&mut self, link: LinkId, wire: bergamotlane_wire::ConsensusMessageWire) {
+    /// Sees to it that the targets are saved soon.
+    pub(super) fn targets_changed(&mut self) {
+        let due = now() + TARGETS_PAUSE_MS;
+        self.targets_due = self.targets_due.or(Some(due));
+    }
+
+    fn save_targets(&mut self, time: ClockTime) {
+        if self.targets_due.is_none_or(|it| time < it) {
+            return;
+        }
+        self.targets_due = None;
+        if let Some(lead) = &self.lead {
+            self.last_targets = lead.registry.views(time);
+        }
+        let path = self.settings.data.join(TARGETS_FILE);
+        if let Err(error) = save_record(&path, &codec::encode(&self.last_targets)) {
+            spdlog::warn!("storage: targets not saved", kv: { error = error.to_string() });
+        }
+    }
+
+    fn on_consensus(&mut self, link: LinkId, wire: ConsensusMessageWire) {
         let node = self.links.get(&link).and_then(|(hello, _)| hello.node);
         let (Some(node), Some(voter)) = (node, &mut self.voter) else {
             return;
@@ -402,6 +465,7 @@
         self.carry_out();
         self.lead_tick();
         self.carry_out();
+        self.save_targets(time);
         self.forwarded.retain(|_, (_, sender)| !sender.is_closed());
     }
 
--- a/crates/service/src/keeper/outputs.rs
+++ b/crates/service/src/keeper/outputs.rs
@@ -6,6 +6,8 @@
 use crate::dialect::TargetDialect;
 use crate::frames::LeaderReply;
 use crate::frames::LinkFrame;
+use crate::payload::decode_command;
+use crate::payload::encode_command;
 use crate::state::ServiceState;
 use crate::state::StateCommand;
 use bergamotlane_coordination::consensus::ConsensusMessage;
@@ -120,7 +122,7 @@
                 self.dial();
                 self.members_changed();
             }
-            EntryBody::Command(bytes) => match codec::decode::<StateCommand>(&bytes) {
+            EntryBody::Command(bytes) => match decode_command(&bytes) {
                 Ok(command) => self.apply_command(entry.index, command),
                 Err(error) => {
                     spdlog::error!("consensus: entry skipped", kv: { index = entry.index, error = error.to_string() });
@@ -158,7 +160,7 @@
     }
 
     pub(super) fn propose(&mut self, command: &StateCommand, origin: CallOrigin) {
-        let bytes = codec::encode(command);
+        let bytes = encode_command(command);
         let Some(voter) = &mut self.voter else {
             self.reply(origin, LeaderReply::NotLeader);
             return;
--- a/crates/service/src/keeper/view.rs
+++ b/crates/service/src/keeper/view.rs
@@ -112,6 +112,9 @@
         if changes.is_empty() {
             return;
         }
+        if changes.targets {
+            self.targets_changed();
+        }
         for for_keeper in [false, true] {
             let Some(view) = self.view(changes, for_keeper) else {
                 continue;
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -1,5 +1,6 @@
 //! The leader's runs of items.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::sync::Arc;
 
@@ -8,10 +9,12 @@
 use super::KeeperEvent;
 use super::core::CallOrigin;
 use super::core::KeeperCore;
+use super::lead::LeadState;
 use super::lead::RunHandle;
 use crate::dialect::TargetDialect;
 use crate::plan::RouteIndex;
 use crate::plan::RouteKind;
+use crate::registry::TargetNotice;
 use crate::registry::TargetStage;
 use crate::run::RunProgress;
 use crate::run::RunRequest;
@@ -145,11 +148,10 @@
             let mut routes = plan.routes.iter();
             routes.any(|it| it.kind != RouteKind::Rollout && it.uses(service))
         };
-        let ready = lead.registry.iter().filter(|(id, entry)| {
+        let ready = lead.registry.iter().filter(|(_, entry)| {
             entry.stage == TargetStage::Ready
                 && !entry.notice.models.is_empty()
                 && !self.state.evacuated.contains(&entry.notice.zone)
-                && !lead.weights.is_loading(time, id)
         });
         ready
             .map(|(id, entry)| {
@@ -164,8 +166,9 @@
                     id: id.clone(),
                     service: notice.service.clone(),
                     capacity: notice.capacity.saturating_sub(reserved).max(1),
-                    models: notice.models.clone(),
-                    starts_per_s: entry.is_cold(time).then_some(cold_per_s.max(1)),
+                    models: usable_models(lead, time, id, notice),
+                    starts_per_s: (entry.is_cold(time) || entry.is_hearsay)
+                        .then_some(cold_per_s.max(1)),
                 }
             })
             .collect()
@@ -273,6 +276,21 @@
     }
 }
 
+/// Returns the models of an engine but the one that it is loading.
+fn usable_models(
+    lead: &LeadState,
+    time: ClockTime,
+    id: &str,
+    notice: &TargetNotice,
+) -> BTreeMap<String, u64> {
+    let loading = lead.weights.loading(time, id);
+    let models = notice.models.iter();
+    models
+        .filter(|(model, _)| loading != Some(model.as_str()))
+        .map(|(model, version)| (model.clone(), *version))
+        .collect()
+}
+
 fn end_name(end: &RunEnd) -> &'static str {
     match end {
         RunEnd::Completed(_) => "completed",
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod keeper;
 pub mod link;
 pub mod logs;
+pub mod payload;
 pub mod plan;
 pub mod pool;
 pub mod port;
--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -73,6 +73,8 @@
     pub stage: TargetStage,
     /// End of the cold time.
     pub cold_until: ClockTime,
+    /// Whether it is known only from an earlier leader.
+    pub is_hearsay: bool,
     heard_at: ClockTime,
 }
 
@@ -111,6 +113,7 @@
                 notice: view.notice.clone(),
                 stage: view.stage,
                 cold_until: now + view.notice.cold_left_ms,
+                is_hearsay: true,
                 heard_at: now,
             };
             self.entries.insert(view.notice.id.clone(), entry);
@@ -159,6 +162,7 @@
         let entry = TargetEntry {
             stage,
             cold_until,
+            is_hearsay: false,
             heard_at: now,
             notice,
         };
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -371,8 +371,8 @@
             if engine.service != terms.service {
                 continue;
             }
-            let version = engine.models.get(&terms.model).copied().unwrap_or_default();
-            if version < terms.min_version {
+            let version = engine.models.get(&terms.model);
+            if version.is_none_or(|it| *it < terms.min_version) {
                 continue;
             }
             let load = self.loads.entry(engine.id.clone()).or_default();
--- a/crates/service/src/state.rs
+++ b/crates/service/src/state.rs
@@ -28,6 +28,7 @@
         /// Plan.
         plan: Box<RoutingPlan>,
         /// What the operator sent, to be read back unchanged.
+        #[serde(with = "crate::payload")]
         document: Bytes,
     },
     /// Takes a zone out.
@@ -77,6 +78,7 @@
     /// Plan.
     pub plan: RoutingPlan,
     /// What the operator sent.
+    #[serde(with = "crate::payload")]
     pub document: Bytes,
 }
 
--- a/crates/service/src/weights.rs
+++ b/crates/service/src/weights.rs
@@ -17,6 +17,9 @@
 /// Pause after an engine refused an order, in milliseconds.
 const REFUSED_PAUSE_MS: u64 = 400;
 
+/// Pause after an engine showed that a newer holder gives orders, in milliseconds.
+const LONG_FENCE_PAUSE_MS: u64 = 60_000;
+
 /// Engines for each one that may load at a time.
 const ENGINES_PER_LOAD: usize = 5;
 
@@ -95,6 +98,7 @@
     accepted: Option<u64>,
     asked: bool,
     loading_until: ClockTime,
+    loading_model: String,
     held_until: ClockTime,
 }
 
@@ -106,10 +110,10 @@
 }
 
 impl WeightPlanner {
-    /// Returns whether an engine is loading weights.
-    pub fn is_loading(&self, now: ClockTime, id: &str) -> bool {
-        let state = self.engines.get(id);
-        state.is_some_and(|it| now < it.loading_until)
+    /// Returns the model that an engine is loading.
+    pub fn loading(&self, now: ClockTime, id: &str) -> Option<&str> {
+        let state = self.engines.get(id)?;
+        (now < state.loading_until).then_some(state.loading_model.as_str())
     }
 
     /// Returns the next steps. `least` is the oldest version that open jobs allow, by model.
@@ -134,7 +138,7 @@
                 };
             }
         }
-        let limit = LEAST_LOADS.max(targets.len() / ENGINES_PER_LOAD);
+        let limit = LEAST_LOADS.max(self.engines.len() / ENGINES_PER_LOAD);
         let states = self.engines.values();
         let busy = states
             .filter(|it| it.asked || now < it.loading_until)
@@ -162,6 +166,7 @@
                 continue;
             }
             state.asked = true;
+            target.model.clone_into(&mut state.loading_model);
             room -= 1;
             steps.push(match state.accepted {
                 Some(expect) => WeightStep::Order {
@@ -225,6 +230,3 @@
         }
     }
 }
-
-/// Pause after an engine showed that a newer holder gives orders, in milliseconds.
-const LONG_FENCE_PAUSE_MS: u64 = 60_000;
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -11,6 +11,8 @@
 #[cfg(test)]
 mod tests;
 
+pub use file::load_record;
+pub use file::save_record;
 pub use folder::DataFolder;
 pub use folder::FolderContent;
 pub use folder::FolderIdentity;
--- a/crates/wire/src/consensus.rs
+++ b/crates/wire/src/consensus.rs
@@ -106,5 +106,6 @@
         AppendReply { term: u64, matched: Option<u64>, prev_index: u64, hint: u64, round: u64 },
         Snapshot { term: u64, snapshot: LogSnapshot, round: u64 },
         Campaign { term: u64 },
+        Standing { term: u64, leads: bool },
     }
 }
