Hold up no election for a folder that is gone

Change: an instance that comes back under its name and address with another folder settles the old folder's standing. Test: a_voter_whose_folder_is_lost_holds_up_no_election.

--- a/crates/coordination/src/consensus/election.rs
+++ b/crates/coordination/src/consensus/election.rs
@@ -61,6 +61,16 @@
             let message = self.standing();
             self.send_voters(&message, out);
         }
+        self.void_promise(now);
+    }
+
+    /// Notes that a node can never act again, since its instance runs on with another folder.
+    pub fn note_gone(&mut self, now: ClockTime, node: NodeId) {
+        self.idle.insert(node, u64::MAX);
+        self.void_promise(now);
+    }
+
+    fn void_promise(&mut self, now: ClockTime) {
         let others = self.membership().voters.keys();
         let mut others = others.filter(|it| **it != self.node);
         let idle = others.all(|it| self.idle.get(it).is_some_and(|at| *at >= self.vote.term));
--- a/crates/coordination/src/consensus/tests.rs
+++ b/crates/coordination/src/consensus/tests.rs
@@ -653,6 +653,22 @@
     assert_eq!(grants_early(standings), granted);
 }
 
+#[test]
+fn a_voter_whose_folder_is_lost_holds_up_no_election() {
+    let now = ClockTime(10_000);
+    let mut node = restarted(now, 4);
+    let mut out = Vec::new();
+    let standing = ConsensusMessage::Standing {
+        term: 4,
+        leads: false,
+    };
+    node.receive(now + 100, NodeId(2), standing, &mut out);
+    node.note_gone(now + 110, NodeId(3));
+    out.clear();
+    node.tick(now + 300, &mut out);
+    assert_eq!(node.role(), NodeRole::PreCandidate);
+}
+
 #[test]
 fn a_candidate_does_not_speak_for_the_term_that_it_may_win() {
     let now = ClockTime(10_000);
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -275,10 +275,35 @@
         if fresh {
             self.dial();
         }
+        self.note_successor(link);
         self.tell_standing(link);
         self.welcome(link);
     }
 
+    /// Notes that a voter's instance has come back with another folder.
+    fn note_successor(&mut self, link: LinkId) {
+        let (Some((hello, _)), Some(voter)) = (self.links.get(&link), &mut self.voter) else {
+            return;
+        };
+        let (Some(node), Some(address)) = (hello.node, hello.address) else {
+            return;
+        };
+        let address = address.to_string();
+        let gone: Vec<NodeId> = voter
+            .node
+            .membership()
+            .voters
+            .iter()
+            .filter(|(id, record)| {
+                id.0 != node && record.name == hello.name && record.address == address
+            })
+            .map(|(id, _)| *id)
+            .collect();
+        for id in gone {
+            voter.node.note_gone(now(), id);
+        }
+    }
+
     /// Tells another keeper whether this one leads, so that it need not wait for a leader that
     /// is gone.
     fn tell_standing(&self, link: LinkId) {
