Connect in a fifth of a second, and speak on every link

Change: a connect takes 200 ms at most; consensus messages and standings go over whichever link is up; a pre-vote that fails while nobody leads is tried again soon. What still fails met machines without power.

--- a/crates/coordination/src/consensus/election.rs
+++ b/crates/coordination/src/consensus/election.rs
@@ -17,6 +17,9 @@
 /// Spread of elections once it is known that nobody leads, in milliseconds.
 const IDLE_SPREAD_MS: u64 = 120;
 
+/// Pause before an election is tried again while nobody leads, in milliseconds.
+const IDLE_RETRY_MS: u64 = 60;
+
 impl ConsensusNode {
     fn log_end(&self) -> LogEnd {
         (self.log.last_term(), self.log.last_index())
@@ -70,12 +73,16 @@
         self.void_promise(now);
     }
 
-    fn void_promise(&mut self, now: ClockTime) {
+    /// Returns whether every other voter says that it doesn't lead.
+    fn nobody_leads(&self) -> bool {
         let others = self.membership().voters.keys();
         let mut others = others.filter(|it| **it != self.node);
-        let idle = others.all(|it| self.idle.get(it).is_some_and(|at| *at >= self.vote.term));
+        others.all(|it| self.idle.get(it).is_some_and(|at| *at >= self.vote.term))
+    }
+
+    fn void_promise(&mut self, now: ClockTime) {
         let waits = self.role != NodeRole::Leader && now < self.promise_until;
-        if idle && waits && self.membership().is_voter(self.node) {
+        if waits && self.nobody_leads() && self.membership().is_voter(self.node) {
             self.promise_until = now;
             self.election_due = self.soon(now, IDLE_SPREAD_MS);
         }
@@ -85,6 +92,9 @@
         self.change_role(RoleEvent::ElectionDue, out);
         self.leader = None;
         self.reset_election(now);
+        if self.nobody_leads() {
+            self.election_due = self.soon(now + IDLE_RETRY_MS, IDLE_SPREAD_MS);
+        }
         self.votes.clear();
         self.refusals.clear();
         self.votes.insert(self.node);
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -310,7 +310,7 @@
         let to_keeper = self
             .links
             .get(&link)
-            .is_some_and(|(hello, dialled)| *dialled && hello.node.is_some());
+            .is_some_and(|(hello, _)| hello.node.is_some());
         if let Some(voter) = self.voter.as_ref().filter(|_| to_keeper) {
             let wire = ConsensusMessageWire::from(&voter.node.standing());
             self.hub.send(link, &LinkFrame::Consensus(wire));
--- a/crates/service/src/keeper/outputs.rs
+++ b/crates/service/src/keeper/outputs.rs
@@ -96,7 +96,7 @@
 
     fn send_consensus(&self, to: NodeId, message: &ConsensusMessage) {
         let mut links = self.links.iter().rev();
-        let link = links.find(|(_, (hello, dialled))| *dialled && hello.node == Some(to.0));
+        let link = links.find(|(_, (hello, _))| hello.node == Some(to.0));
         if let Some((link, _)) = link {
             let wire = ConsensusMessageWire::from(message);
             self.hub.send(*link, &LinkFrame::Consensus(wire));
--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -29,6 +29,10 @@
 use bergamotlane_wire::codec;
 use bergamotlane_wire::codec::WireError;
 
+/// Longest time for a connection; a packet to an instance without power is lost, and sent again
+/// only after a second.
+const CONNECT_LIMIT: Duration = Duration::from_millis(200);
+
 /// Longest time for a connection and its handshake.
 const DIAL_LIMIT: Duration = Duration::from_millis(700);
 
@@ -201,8 +205,10 @@
     }
 
     async fn connect(&self, address: SocketAddr) -> Result<(Socket, HelloFrame), LinkError> {
-        let stream = TcpStream::connect(address).await;
-        let stream = stream.map_err(|error| LinkError::Transport(error.into()))?;
+        let connected = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
+        let stream = connected
+            .map_err(|_| LinkError::Silent)?
+            .map_err(|error| LinkError::Transport(error.into()))?;
         tune(&stream).map_err(|error| LinkError::Transport(error.into()))?;
         let uri = format!("ws://{address}/");
         let (socket, _) = tokio_tungstenite::client_async(uri, stream).await?;
