Test plan, state, registry and scheduler, and keep groups together

Cause: a_group_stays_on_one_engine_while_it_has_room failed: the bonus for the engine that has read a group's prompt was smaller than the cost of its running share.

--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -41,7 +41,7 @@
 const DEFAULT_PACE_MS: f64 = 40.0;
 
 /// Extra running share that makes up for the lost shared prompt.
-const GROUP_BONUS: f64 = 0.5;
+const GROUP_BONUS: f64 = 1.0;
 
 /// Identity of one run of an item.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- /dev/null
+++ b/crates/service/tests/plan.rs
@@ -0,0 +1,136 @@
+//! Plans: faults with their places, the longest prefix, splits and keys.
+
+use rstest::rstest;
+
+use bergamotlane_service::plan::CustomerSpec;
+use bergamotlane_service::plan::KeyDigest;
+use bergamotlane_service::plan::LookupFault;
+use bergamotlane_service::plan::RouteIndex;
+use bergamotlane_service::plan::RouteKind;
+use bergamotlane_service::plan::RouteRule;
+use bergamotlane_service::plan::RoutingPlan;
+use bergamotlane_service::plan::ServiceShare;
+use bergamotlane_service::plan::ServiceSpec;
+
+fn route(path_prefix: &str, shares: &[(&str, u32)]) -> RouteRule {
+    let share = |(service, weight): &(&str, u32)| ServiceShare {
+        service: (*service).to_owned(),
+        weight: *weight,
+    };
+    RouteRule {
+        name: path_prefix.to_owned(),
+        host: "desk.example".to_owned(),
+        path_prefix: path_prefix.to_owned(),
+        kind: RouteKind::Safe,
+        time_limit_ms: 1_500,
+        latency_target_ms: 150,
+        rank: 2,
+        shares: shares.iter().map(share).collect(),
+        max_attempts: 2,
+        is_open: false,
+        is_resumable: false,
+        single_version: false,
+        item_ttl_ms: 40_000,
+        result_deadline_ms: 7_500,
+    }
+}
+
+fn service(name: &str) -> ServiceSpec {
+    ServiceSpec {
+        name: name.to_owned(),
+        max_connections: 100,
+        cold_per_s: 0.0,
+        models: Vec::new(),
+        scale: None,
+    }
+}
+
+fn customer(name: &str, keys: &[&str]) -> CustomerSpec {
+    CustomerSpec {
+        name: name.to_owned(),
+        keys: keys.iter().map(|it| KeyDigest::of(it.as_bytes())).collect(),
+    }
+}
+
+fn plan() -> RoutingPlan {
+    RoutingPlan {
+        version: 3,
+        routes: vec![
+            route("/a/", &[("desk", 1)]),
+            route("/a/b/", &[("llm", 90), ("desk", 10)]),
+        ],
+        services: vec![service("desk"), service("llm")],
+        customers: vec![customer("mint", &["k1", "k2"]), customer("ridge", &["k3"])],
+    }
+}
+
+#[test]
+fn a_sound_plan_has_no_fault() {
+    assert!(plan().check().is_empty());
+}
+
+type Change = fn(&mut RoutingPlan);
+
+#[rstest]
+#[case::unknown_service(|it: &mut RoutingPlan| it.routes[0].shares[0].service = "gone".to_owned(), "routes[0].service")]
+#[case::same_place(|it: &mut RoutingPlan| it.routes[1].path_prefix = "/a/".to_owned(), "routes[1].path")]
+#[case::no_weight(|it: &mut RoutingPlan| it.routes[1].shares.iter_mut().for_each(|it| it.weight = 0), "routes[1].weight")]
+#[case::no_share(|it: &mut RoutingPlan| it.routes[0].shares.clear(), "routes[0].weight")]
+#[case::no_time(|it: &mut RoutingPlan| it.routes[0].time_limit_ms = 0, "routes[0].time_limit")]
+#[case::prefix_without_slash(|it: &mut RoutingPlan| it.routes[0].path_prefix = "/a".to_owned(), "routes[0].path")]
+#[case::shared_key(|it: &mut RoutingPlan| it.customers[1] = customer("ridge", &["k2"]), "customers[1].keys")]
+#[case::service_twice(|it: &mut RoutingPlan| it.services.push(service("desk")), "services[2].name")]
+fn each_fault_is_found_at_its_place(#[case] change: Change, #[case] place: &str) {
+    let mut plan = plan();
+    change(&mut plan);
+    let findings = plan.check();
+    assert_eq!(findings.len(), 1, "{findings:?}");
+    assert!(
+        findings[0].to_string().starts_with(place),
+        "{}",
+        findings[0]
+    );
+}
+
+#[test]
+fn all_faults_are_reported_together() {
+    let mut plan = plan();
+    plan.routes[0].time_limit_ms = 0;
+    plan.routes[1].shares.clear();
+    plan.customers[1] = customer("ridge", &["k1"]);
+    assert_eq!(plan.check().len(), 3);
+}
+
+#[rstest]
+#[case("desk.example", "/a/x", Some("/a/"))]
+#[case("DESK.example", "/a/b/x", Some("/a/b/"))]
+#[case("desk.example", "/a/b", Some("/a/"))]
+#[case("desk.example", "/a", None)]
+#[case("other.example", "/a/x", None)]
+fn the_longest_prefix_of_the_host_wins(
+    #[case] host: &str,
+    #[case] path: &str,
+    #[case] expected: Option<&str>,
+) {
+    let index = RouteIndex::new(plan());
+    let found = index.route(host, path).map(|it| it.path_prefix.as_str());
+    assert_eq!(found, expected);
+}
+
+#[rstest]
+#[case(0.0, "llm")]
+#[case(0.89, "llm")]
+#[case(0.91, "desk")]
+#[case(0.999, "desk")]
+fn a_split_follows_its_weights(#[case] point: f64, #[case] expected: &str) {
+    assert_eq!(plan().routes[1].service_at(point), Some(expected));
+}
+
+#[test]
+fn a_key_names_its_customer_and_no_other_does() {
+    let index = RouteIndex::new(plan());
+    let key = |text: &str| Some(KeyDigest::of(text.as_bytes()));
+    assert_eq!(index.customer(key("k2")), Ok(Some("mint")));
+    assert_eq!(index.customer(key("k9")), Err(LookupFault::UnknownKey));
+    assert_eq!(index.customer(None), Err(LookupFault::UnknownKey));
+}
--- /dev/null
+++ b/crates/service/tests/registry.rs
@@ -0,0 +1,105 @@
+//! The registry: late announcements, reused addresses, restarts under the same ID, silence.
+
+use std::collections::BTreeMap;
+
+use rstest::rstest;
+
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_service::registry::NoticeEffect;
+use bergamotlane_service::registry::TargetNotice;
+use bergamotlane_service::registry::TargetRegistry;
+use bergamotlane_service::registry::TargetStage;
+
+const START: ClockTime = ClockTime(100_000);
+
+fn notice(id: &str, born: u64, sequence: u64) -> TargetNotice {
+    TargetNotice {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        address: "10.0.0.1:80".parse().unwrap(),
+        zone: "a".to_owned(),
+        capacity: 8,
+        is_draining: false,
+        cold_left_ms: 0,
+        models: BTreeMap::from([("m".to_owned(), 1)]),
+        sequence,
+        born,
+        is_reclaimable: false,
+    }
+}
+
+#[rstest]
+#[case::next(notice("x", 10, 6), NoticeEffect::Refreshed)]
+#[case::repeated(notice("x", 10, 5), NoticeEffect::Ignored)]
+#[case::late(notice("x", 10, 4), NoticeEffect::Ignored)]
+#[case::restarted(notice("x", 11, 1), NoticeEffect::Changed)]
+#[case::of_the_boot_before(notice("x", 9, 99), NoticeEffect::Ignored)]
+#[case::successor_at_the_address(notice("y", 12, 1), NoticeEffect::Changed)]
+#[case::predecessor_at_the_address(notice("w", 8, 50), NoticeEffect::Ignored)]
+fn an_announcement_counts_by_start_and_number(
+    #[case] next: TargetNotice,
+    #[case] expected: NoticeEffect,
+) {
+    let mut registry = TargetRegistry::default();
+    registry.announce(START, notice("x", 10, 5));
+    assert_eq!(registry.announce(START + 10, next), expected);
+    assert_eq!(registry.iter().count(), 1);
+}
+
+#[test]
+fn a_departed_target_comes_back_only_with_a_new_start() {
+    let mut registry = TargetRegistry::default();
+    registry.announce(START, notice("x", 10, 5));
+    assert!(registry.depart(START, "x"));
+    assert_eq!(
+        registry.announce(START, notice("x", 10, 6)),
+        NoticeEffect::Ignored
+    );
+    assert_eq!(
+        registry.announce(START, notice("x", 11, 1)),
+        NoticeEffect::Changed
+    );
+}
+
+#[test]
+fn a_draining_target_is_told_at_once() {
+    let mut registry = TargetRegistry::default();
+    registry.announce(START, notice("x", 10, 5));
+    let mut leaving = notice("x", 10, 6);
+    leaving.is_draining = true;
+    assert_eq!(registry.announce(START, leaving), NoticeEffect::Changed);
+    assert_eq!(registry.get("x").unwrap().stage, TargetStage::Draining);
+}
+
+#[test]
+fn silence_moves_a_target_on_and_then_out() {
+    let mut registry = TargetRegistry::default();
+    registry.announce(START, notice("x", 10, 5));
+    assert!(!registry.expire(START + 3_900));
+    assert!(registry.expire(START + 4_100));
+    assert_eq!(registry.get("x").unwrap().stage, TargetStage::Silent);
+    assert!(registry.expire(START + 60_000));
+    assert!(registry.get("x").is_none());
+}
+
+#[test]
+fn what_an_earlier_leader_knew_is_hearsay_until_it_is_heard() {
+    let mut registry = TargetRegistry::default();
+    registry.announce(START, notice("x", 10, 5));
+    let mut next = TargetRegistry::default();
+    next.restore(START + 50, &registry.views(START + 50));
+    assert!(next.get("x").unwrap().is_hearsay);
+    next.announce(START + 60, notice("x", 10, 6));
+    assert!(!next.get("x").unwrap().is_hearsay);
+}
+
+#[test]
+fn a_view_tells_the_cold_time_that_is_left() {
+    let mut registry = TargetRegistry::default();
+    let mut cold = notice("x", 10, 5);
+    cold.cold_left_ms = 3_000;
+    registry.announce(START, cold);
+    assert_eq!(registry.views(START + 1_000)[0].notice.cold_left_ms, 2_000);
+    assert!(registry.get("x").unwrap().is_cold(START + 2_999));
+    assert!(!registry.get("x").unwrap().is_cold(START + 3_000));
+}
--- /dev/null
+++ b/crates/service/tests/schedule.rs
@@ -0,0 +1,275 @@
+//! The step scheduler on a manual clock: groups, versions, failures, slow and cold engines.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use bytes::Bytes;
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use rstest::rstest;
+
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_service::jobs::ItemEnd;
+use bergamotlane_service::schedule::EngineSlot;
+use bergamotlane_service::schedule::JobTerms;
+use bergamotlane_service::schedule::PartialText;
+use bergamotlane_service::schedule::RunEnd;
+use bergamotlane_service::schedule::RunStart;
+use bergamotlane_service::schedule::StepScheduler;
+
+const START: ClockTime = ClockTime(50_000);
+
+fn engine(id: &str, capacity: u32, version: u64) -> EngineSlot {
+    EngineSlot {
+        id: id.to_owned(),
+        service: "llm".to_owned(),
+        capacity,
+        models: BTreeMap::from([("m".to_owned(), version)]),
+        starts_per_s: None,
+    }
+}
+
+fn terms(min_version: u64) -> JobTerms {
+    JobTerms {
+        due: START + 7_500,
+        expires: START + 40_000,
+        service: "llm".to_owned(),
+        model: "m".to_owned(),
+        min_version,
+        single_version: false,
+        max_attempts: 3,
+    }
+}
+
+fn scheduler(terms: JobTerms, items: u32, group_size: u32) -> StepScheduler {
+    let mut scheduler = StepScheduler::default();
+    let groups = (0..items).map(|it| it / group_size).collect();
+    scheduler.admit("j", terms, groups, (0..items).collect());
+    scheduler
+}
+
+fn whole(versions: &[u64]) -> RunEnd {
+    RunEnd::Completed(PartialText {
+        events: vec![Bytes::from_static(b"a"), Bytes::from_static(b"b")],
+        last_id: Some(1),
+        versions: versions.to_vec(),
+    })
+}
+
+#[test]
+fn a_group_stays_on_one_engine_while_it_has_room() {
+    let engines = [engine("x", 4, 1), engine("y", 4, 1)];
+    let starts = scheduler(terms(1), 8, 4).assign(START, &engines);
+    let engines_of = |group: u32| -> BTreeSet<&str> {
+        let own = starts.iter().filter(|it| it.item / 4 == group);
+        own.map(|it| it.engine.as_str()).collect()
+    };
+    assert_eq!(starts.len(), 8);
+    assert_eq!((engines_of(0).len(), engines_of(1).len()), (1, 1));
+}
+
+#[test]
+fn no_engine_gets_more_than_its_capacity() {
+    let engines = [engine("x", 3, 1), engine("y", 2, 1)];
+    let mut scheduler = scheduler(terms(1), 20, 4);
+    assert_eq!(scheduler.assign(START, &engines).len(), 5);
+    assert!(scheduler.assign(START + 10, &engines).is_empty());
+    assert_eq!((scheduler.running("x"), scheduler.waiting()), (3, 15));
+}
+
+#[rstest]
+#[case::old_weights(engine("x", 4, 4), 0)]
+#[case::allowed(engine("x", 4, 5), 4)]
+#[case::newer(engine("x", 4, 6), 4)]
+fn an_engine_with_older_weights_than_allowed_gets_nothing(
+    #[case] engine: EngineSlot,
+    #[case] expected: usize,
+) {
+    let starts = scheduler(terms(5), 4, 4).assign(START, &[engine]);
+    assert_eq!(starts.len(), expected);
+}
+
+#[test]
+fn a_text_with_a_version_that_is_too_old_is_run_again() {
+    let mut scheduler = scheduler(terms(5), 1, 1);
+    let run = scheduler.assign(START, &[engine("x", 1, 5)])[0].run;
+    assert!(scheduler.ended(START + 50, run, whole(&[4, 5])).is_none());
+    assert_eq!(scheduler.waiting(), 1);
+}
+
+#[test]
+fn a_route_of_one_version_takes_no_mixed_text() {
+    let mut single = terms(1);
+    single.single_version = true;
+    let mut scheduler = scheduler(single, 1, 1);
+    let run = scheduler.assign(START, &[engine("x", 1, 2)])[0].run;
+    assert!(scheduler.ended(START + 50, run, whole(&[1, 2])).is_none());
+    let run = scheduler.assign(START + 60, &[engine("x", 1, 2)])[0].run;
+    let (_, result) = scheduler.ended(START + 90, run, whole(&[2])).unwrap();
+    assert_eq!(
+        (result.end, &result.text[..]),
+        (ItemEnd::Completed, &b"a\nb"[..])
+    );
+}
+
+#[test]
+fn a_broken_run_goes_on_elsewhere_where_it_stopped() {
+    let engines = [engine("x", 1, 1), engine("y", 1, 1)];
+    let mut scheduler = scheduler(terms(1), 1, 1);
+    let first = scheduler.assign(START, &engines).remove(0);
+    let partial = PartialText {
+        events: vec![Bytes::from_static(b"a")],
+        last_id: Some(0),
+        versions: vec![1],
+    };
+    scheduler.ended(START + 30, first.run, RunEnd::Unreachable);
+    let second = scheduler.assign(START + 31, &engines).remove(0);
+    assert_ne!(first.engine, second.engine, "a failed engine is held back");
+    scheduler.ended(START + 60, second.run, RunEnd::Broken(partial.clone()));
+    let third = scheduler.assign(START + 61, &engines).remove(0);
+    assert_eq!(third.partial, partial);
+}
+
+#[rstest]
+#[case::failures_up_to_the_limit(vec![RunEnd::Failed, RunEnd::Failed, RunEnd::Failed], true)]
+#[case::fewer_failures(vec![RunEnd::Failed, RunEnd::Failed], false)]
+#[case::never_possible(vec![RunEnd::Rejected], true)]
+#[case::refusals_do_not_count(vec![RunEnd::Refused, RunEnd::Misdirected, RunEnd::Refused, RunEnd::Refused], false)]
+fn an_item_is_given_up_after_its_own_failures_only(#[case] ends: Vec<RunEnd>, #[case] gone: bool) {
+    let mut scheduler = scheduler(terms(1), 1, 1);
+    let mut given_up = false;
+    for (step, end) in ends.into_iter().enumerate() {
+        let time = START + 1_000 * step as u64;
+        let run = scheduler.assign(time, &[engine("x", 1, 1)])[0].run;
+        let result = scheduler.ended(time + 10, run, end);
+        given_up = result.is_some_and(|(_, it)| it.end == ItemEnd::Terminated);
+    }
+    assert_eq!(given_up, gone);
+}
+
+#[test]
+fn a_cold_engine_gets_no_more_starts_a_second_than_it_bears() {
+    let mut cold = engine("x", 64, 1);
+    cold.starts_per_s = Some(5);
+    let mut scheduler = scheduler(terms(1), 40, 4);
+    let mut starts: Vec<ClockTime> = Vec::new();
+    for step in 0..150 {
+        let time = START + step * 20;
+        for _ in scheduler.assign(time, std::slice::from_ref(&cold)) {
+            starts.push(time);
+        }
+    }
+    for first in &starts {
+        let within = starts
+            .iter()
+            .filter(|it| it.since(*first) < 1_000 && *it >= first);
+        assert!(within.count() <= 5);
+    }
+    assert_eq!(starts.len(), 15);
+}
+
+#[test]
+fn runs_leave_an_engine_that_became_slow_while_others_have_room() {
+    let engines = [engine("x", 4, 1), engine("y", 4, 1), engine("z", 4, 1)];
+    let mut scheduler = scheduler(terms(1), 6, 2);
+    let starts = scheduler.assign(START, &engines);
+    for _ in 0..20 {
+        for start in &starts {
+            let pace = if start.engine == "x" { 170.0 } else { 40.0 };
+            scheduler.observe(start.run, pace);
+        }
+    }
+    let moved = scheduler.slow_runs(START + 500, &engines);
+    let slow: Vec<_> = starts
+        .iter()
+        .filter(|it| it.engine == "x")
+        .map(|it| it.run)
+        .collect();
+    assert_eq!(moved, slow);
+    assert!(
+        scheduler.slow_runs(START + 600, &engines).is_empty(),
+        "once is enough"
+    );
+}
+
+#[test]
+fn an_ended_job_leaves_no_run() {
+    let mut scheduler = scheduler(terms(1), 6, 2);
+    let starts = scheduler.assign(START, &[engine("x", 4, 1)]);
+    assert_eq!(scheduler.drop_job("j").len(), starts.len());
+    assert_eq!((scheduler.running("x"), scheduler.waiting()), (0, 0));
+    assert!(
+        scheduler
+            .ended(START + 10, starts[0].run, whole(&[1]))
+            .is_none()
+    );
+}
+
+#[test]
+fn items_past_their_time_are_given_up_with_their_runs() {
+    let mut scheduler = scheduler(terms(1), 3, 1);
+    let starts = scheduler.assign(START, &[engine("x", 1, 1)]);
+    assert!(scheduler.expire(START + 39_999).0.is_empty());
+    let (results, stopped) = scheduler.expire(START + 40_000);
+    assert_eq!((results.len(), stopped), (3, vec![starts[0].run]));
+}
+
+/// Time that a run takes: many short ones, some five times as long.
+fn run_ms(random: &mut StdRng) -> u64 {
+    let base = random.random_range(200..600);
+    if random.random_ratio(8, 100) {
+        base * 5
+    } else {
+        base
+    }
+}
+
+/// Plays a step on engines of which one is four times slower; returns when all is done.
+fn step_ms(seed: u64, move_runs: bool) -> u64 {
+    let mut random = StdRng::seed_from_u64(seed);
+    let engines: Vec<EngineSlot> = (0..6).map(|it| engine(&format!("e{it}"), 8, 1)).collect();
+    let mut scheduler = scheduler(terms(1), 120, 4);
+    let mut running: Vec<(RunStart, u64, u64)> = Vec::new();
+    let mut done = 0;
+    for time in (0..60_000).step_by(20) {
+        let now = START + time;
+        running.retain(|(start, _, until)| {
+            if *until > time {
+                return true;
+            }
+            done += u32::from(scheduler.ended(now, start.run, whole(&[1])).is_some());
+            false
+        });
+        if done == 120 {
+            return time;
+        }
+        for (start, _, _) in &running {
+            let slow = start.engine == "e0";
+            scheduler.observe(start.run, if slow { 160.0 } else { 40.0 });
+        }
+        if move_runs {
+            for key in scheduler.slow_runs(now, &engines) {
+                running.retain(|(start, _, _)| start.run != key);
+                let stopped = RunEnd::Broken(PartialText::default());
+                assert!(scheduler.ended(now, key, stopped).is_none());
+            }
+        }
+        for start in scheduler.assign(now, &engines) {
+            let factor = if start.engine == "e0" { 4 } else { 1 };
+            let until = time + run_ms(&mut random) * factor;
+            running.push((start, time, until));
+        }
+    }
+    panic!("the step never ended");
+}
+
+#[test]
+fn a_step_with_a_slow_engine_ends_sooner_when_its_runs_are_moved() {
+    let (mut moved, mut kept) = (0, 0);
+    for seed in 0..12 {
+        moved += step_ms(seed, true);
+        kept += step_ms(seed, false);
+    }
+    assert!(moved * 10 < kept * 9, "moved {moved} ms, kept {kept} ms");
+}
--- /dev/null
+++ b/crates/service/tests/state.rs
@@ -0,0 +1,196 @@
+//! The replicated state: plans by version, jobs at fixed positions, windows that stand.
+
+use std::collections::BTreeMap;
+
+use bytes::Bytes;
+use proptest::prelude::*;
+use rstest::rstest;
+
+use bergamotlane_service::jobs::ItemEnd;
+use bergamotlane_service::jobs::ItemResult;
+use bergamotlane_service::jobs::ItemSpec;
+use bergamotlane_service::jobs::JobSubmission;
+use bergamotlane_service::payload::decode_command;
+use bergamotlane_service::payload::encode_command;
+use bergamotlane_service::plan::RoutingPlan;
+use bergamotlane_service::state::ServiceState;
+use bergamotlane_service::state::StateCommand;
+use bergamotlane_service::usage::UsageSums;
+use bergamotlane_service::usage::UsageTally;
+
+fn submission(id: &str, items: usize) -> JobSubmission {
+    let item = |place: usize| ItemSpec {
+        id: format!("i{place}"),
+        path: format!("/p/{place}"),
+        headers: vec![("x-a".to_owned(), "1".to_owned())],
+        body: Bytes::from(format!("body {place} of {id}")),
+        tokens: 16,
+        group: format!("g{}", place / 2),
+    };
+    JobSubmission {
+        id: id.to_owned(),
+        customer: Some("mint".to_owned()),
+        host: "desk.example".to_owned(),
+        path: "/p/".to_owned(),
+        model: "m".to_owned(),
+        min_version: 1,
+        desired: 1,
+        items: (0..items).map(item).collect(),
+    }
+}
+
+fn result(item: u32, text: &str) -> ItemResult {
+    ItemResult {
+        item,
+        end: ItemEnd::Completed,
+        text: Bytes::copy_from_slice(text.as_bytes()),
+        versions: vec![1],
+    }
+}
+
+fn submit(id: &str, items: usize) -> StateCommand {
+    StateCommand::Submit(Box::new(submission(id, items)))
+}
+
+fn plan(version: u64, document: &'static str) -> StateCommand {
+    let plan = RoutingPlan {
+        version,
+        ..RoutingPlan::default()
+    };
+    StateCommand::ReplacePlan {
+        plan: Box::new(plan),
+        document: Bytes::from_static(document.as_bytes()),
+    }
+}
+
+#[rstest]
+#[case::higher(8, "new")]
+#[case::equal_and_other(7, "old")]
+#[case::lower(6, "old")]
+fn the_highest_plan_is_in_force(#[case] version: u64, #[case] expected: &str) {
+    let mut state = ServiceState::default();
+    state.apply(1, plan(7, "old"));
+    state.apply(2, plan(version, "new"));
+    assert_eq!(state.plan.unwrap().document, expected);
+}
+
+#[test]
+fn a_repeated_submission_changes_nothing() {
+    let mut state = ServiceState::default();
+    state.apply(1, submit("j", 2));
+    state.apply(
+        2,
+        StateCommand::List(vec![("j".to_owned(), result(1, "t"))]),
+    );
+    let before = state.jobs.clone();
+    state.apply(3, submit("j", 5));
+    assert_eq!(state.jobs, before);
+}
+
+#[test]
+fn an_item_is_listed_once_and_keeps_its_position() {
+    let mut state = ServiceState::default();
+    state.apply(1, submit("j", 3));
+    for (index, (item, text)) in [(2, "c"), (0, "a"), (2, "other")].iter().enumerate() {
+        let results = vec![("j".to_owned(), result(*item, text))];
+        state.apply(2 + index as u64, StateCommand::List(results));
+    }
+    let job = state.jobs.get("j").unwrap();
+    let listed: Vec<(u32, &[u8])> = job
+        .results
+        .iter()
+        .map(|it| (it.item, &it.text[..]))
+        .collect();
+    assert_eq!(listed, [(2, b"c".as_slice()), (0, b"a".as_slice())]);
+    assert!(job.is_open(1) && !job.is_open(2));
+}
+
+#[test]
+fn an_ended_job_keeps_what_is_listed_and_takes_nothing_more() {
+    let mut state = ServiceState::default();
+    state.apply(1, submit("j", 2));
+    state.apply(
+        2,
+        StateCommand::List(vec![("j".to_owned(), result(0, "a"))]),
+    );
+    state.apply(3, StateCommand::EndJob("j".to_owned()));
+    state.apply(
+        4,
+        StateCommand::List(vec![("j".to_owned(), result(1, "b"))]),
+    );
+    let job = state.jobs.get("j").unwrap();
+    assert_eq!(job.results.len(), 1);
+    assert!(job.ended && job.is_settled());
+}
+
+#[test]
+fn a_carried_over_text_is_found_only_for_its_customer_and_versions() {
+    let mut state = ServiceState::default();
+    state.apply(1, submit("j", 2));
+    state.apply(
+        2,
+        StateCommand::List(vec![("j".to_owned(), result(0, "a"))]),
+    );
+    let found = |customer: &str, least| {
+        state
+            .jobs
+            .finished(Some(customer), "i0", least)
+            .map(|it| it.text.clone())
+    };
+    assert_eq!(found("mint", 1), Some(Bytes::from_static(b"a")));
+    assert_eq!(found("mint", 2), None);
+    assert_eq!(found("ridge", 1), None);
+}
+
+#[test]
+fn the_first_figures_of_a_window_stand() {
+    let mut state = ServiceState::default();
+    let close = |count| StateCommand::CloseWindow {
+        window: 9,
+        counts: BTreeMap::from([("mint".to_owned(), count)]),
+    };
+    state.apply(1, close(4));
+    state.apply(2, StateCommand::WindowReported(9));
+    state.apply(3, close(5));
+    let record = &state.windows[&9];
+    assert_eq!((record.counts["mint"], record.reported), (4, true));
+}
+
+#[test]
+fn repeated_sums_of_a_process_count_once() {
+    let mut sums = UsageSums::default();
+    sums.count(3, "mint");
+    let mut tally = UsageTally::default();
+    tally.merge(1, sums.clone());
+    sums.count(3, "mint");
+    tally.merge(1, sums.clone());
+    tally.merge(1, sums.clone());
+    tally.merge(2, sums);
+    assert_eq!(tally.total(3)["mint"], 4);
+}
+
+#[rstest]
+#[case(submit("j", 3))]
+#[case(plan(2, "{\"version\":2}"))]
+#[case(StateCommand::List(vec![("j".to_owned(), result(0, "a")), ("j".to_owned(), result(1, ""))]))]
+#[case(StateCommand::Evacuate("a".to_owned()))]
+fn a_command_is_the_same_after_its_way_through_the_log(#[case] command: StateCommand) {
+    let bytes = encode_command(&command);
+    assert_eq!(decode_command(&bytes).unwrap(), command);
+}
+
+#[test]
+fn a_cut_command_is_refused() {
+    let bytes = encode_command(&submit("j", 3));
+    for length in 0..bytes.len() {
+        assert!(decode_command(&bytes.slice(..length)).is_err(), "{length}");
+    }
+}
+
+proptest! {
+    #[test]
+    fn hostile_bytes_are_no_command(bytes in proptest::collection::vec(any::<u8>(), 0..200)) {
+        // Whatever they hold, reading them ends without a panic.
+        let _ = decode_command(&Bytes::from(bytes));
+    }
+}
