--- a/crates/coordination/src/consensus/replication.rs
+++ b/crates/coordination/src/consensus/replication.rs
@@ -17,14 +17,23 @@
 /// Command bytes after which a message takes no further entry.
 const APPEND_BATCH_BYTES: usize = 1024 * 1024;
 
+/// Command bytes that may be on their way to one node.
+const UNANSWERED_BYTES: usize = 4 * 1024 * 1024;
+
+fn command_bytes(entries: &[LogEntry]) -> usize {
+    let sizes = entries.iter().map(|entry| match &entry.body {
+        EntryBody::Command(command) => command.len(),
+        EntryBody::Noop | EntryBody::Membership(_) => 0,
+    });
+    sizes.sum()
+}
+
 /// Returns as many of the entries as one message takes, at least one if there is any.
 fn batch(entries: &[LogEntry]) -> Vec<LogEntry> {
     let mut bytes = 0;
     let fits = |entry: &&LogEntry| {
         let before = bytes;
-        if let EntryBody::Command(command) = &entry.body {
-            bytes += command.len();
-        }
+        bytes += command_bytes(std::slice::from_ref(entry));
         before < APPEND_BATCH_BYTES
     };
     entries.iter().take_while(fits).cloned().collect()
@@ -103,7 +112,12 @@
             }
             return;
         };
-        let entries = batch(self.log.slice(progress.next, APPEND_BATCH_ENTRIES));
+        let sent = (progress.next - 1).saturating_sub(progress.matched) as usize;
+        let unanswered = command_bytes(self.log.slice(progress.matched + 1, sent));
+        let entries = match unanswered < UNANSWERED_BYTES {
+            true => batch(self.log.slice(progress.next, APPEND_BATCH_ENTRIES)),
+            false => Vec::new(),
+        };
         if entries.is_empty() && !even_empty {
             return;
         }
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -67,8 +67,8 @@
 const REOPEN_PAUSE_MS: u64 = 500;
 
 const SNAPSHOTS: SnapshotTerms = SnapshotTerms {
-    log_bytes: 48 * 1024 * 1024,
-    entries: 60_000,
+    log_bytes: 128 * 1024 * 1024,
+    entries: 200_000,
 };
 
 const CONSENSUS: ConsensusConfig = ConsensusConfig {
--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -20,8 +20,11 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::accept_async_with_config;
+use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::Message;
+use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
@@ -48,6 +51,15 @@
 /// Silence after which a link counts as dead.
 const SILENCE_LIMIT: Duration = Duration::from_millis(1_300);
 
+/// Read buffer of a link; an instance holds many links.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Bytes written before a link's buffer is passed to the system.
+const WRITE_BUFFER_BYTES: usize = 16 * 1024;
+
+/// Largest frame.
+const MAX_FRAME_BYTES: usize = 256 * 1024 * 1024;
+
 /// Frames written before the connection is flushed.
 const FLUSH_AFTER_FRAMES: usize = 64;
 
@@ -211,7 +223,7 @@
             .map_err(|error| LinkError::Transport(error.into()))?;
         tune(&stream).map_err(|error| LinkError::Transport(error.into()))?;
         let uri = format!("ws://{address}/");
-        let (socket, _) = tokio_tungstenite::client_async(uri, stream).await?;
+        let (socket, _) = client_async_with_config(uri, stream, Some(socket_config())).await?;
         self.introduce(socket).await
     }
 
@@ -233,7 +245,7 @@
 
     async fn accept(&self, stream: TcpStream) -> Result<(Socket, HelloFrame), LinkError> {
         tune(&stream).map_err(|error| LinkError::Transport(error.into()))?;
-        let socket = tokio_tungstenite::accept_async(stream).await?;
+        let socket = accept_async_with_config(stream, Some(socket_config())).await?;
         self.introduce(socket).await
     }
 
@@ -330,6 +342,14 @@
     }
 }
 
+fn socket_config() -> WebSocketConfig {
+    WebSocketConfig::default()
+        .read_buffer_size(READ_BUFFER_BYTES)
+        .write_buffer_size(WRITE_BUFFER_BYTES)
+        .max_message_size(Some(MAX_FRAME_BYTES))
+        .max_frame_size(Some(MAX_FRAME_BYTES))
+}
+
 fn tune(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     socket2::SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE_LIMIT))
