Read a log record by record when it is opened

Cause: opening a log held the file, its payloads and its entries at once, twice the log. Change: records are read one at a time; only what stands behind the last whole one is read as a piece, to tell a torn tail from damage. Tests: those of the data folder.

--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -1,5 +1,8 @@
 //! Records: magic, length, CRC-32 and payload, one after the other.
 
+use std::io;
+use std::io::Read;
+
 use bytes::Bytes;
 
 /// First bytes of each record.
@@ -29,6 +32,33 @@
     hasher.finalize()
 }
 
+/// Reads the next record; returns `None` at the end and where no whole record follows.
+pub(super) fn read_next(reader: &mut impl Read) -> io::Result<Option<Vec<u8>>> {
+    let mut header = [0; HEADER_BYTES];
+    if !read_whole(reader, &mut header)? || header[..2] != MAGIC {
+        return Ok(None);
+    }
+    let length = u32::from_le_bytes([header[2], header[3], header[4], header[5]]) as usize;
+    let sum = u32::from_le_bytes([header[6], header[7], header[8], header[9]]);
+    if length > MAX_PAYLOAD_BYTES {
+        return Ok(None);
+    }
+    // A torn length must not cost its memory: the payload grows as it is read.
+    let mut payload = Vec::new();
+    reader.take(length as u64).read_to_end(&mut payload)?;
+    let whole = payload.len() == length && checksum(&payload) == sum;
+    Ok(whole.then_some(payload))
+}
+
+/// Fills the buffer; returns whether there was enough.
+fn read_whole(reader: &mut impl Read, buffer: &mut [u8]) -> io::Result<bool> {
+    match reader.read_exact(buffer) {
+        Ok(()) => Ok(true),
+        Err(error) if error.kind() == io::ErrorKind::UnexpectedEof => Ok(false),
+        Err(error) => Err(error),
+    }
+}
+
 /// Returns the payload of the record at `offset`, if a whole one stands there.
 fn read_at(bytes: &Bytes, offset: usize) -> Option<Bytes> {
     let header = bytes.get(offset..offset + HEADER_BYTES)?;
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -1,7 +1,13 @@
 //! What a data folder holds after a start: whole records, and the cut of a torn tail.
 
 use std::fs;
+use std::fs::File;
 use std::fs::OpenOptions;
+use std::io;
+use std::io::BufReader;
+use std::io::Read;
+use std::io::Seek;
+use std::io::SeekFrom;
 use std::path::Path;
 
 use bytes::Bytes;
@@ -45,37 +51,58 @@
     vote: &mut VoteRecord,
     entries: &mut Vec<LogEntry>,
 ) -> Result<(), StorageError> {
-    let bytes = Bytes::from(fs::read(path).map_err(io_error("read", path))?);
-    let scan = record::scan(&bytes);
-    let torn = scan.whole_bytes < bytes.len();
-    if torn && (scan.damaged || !is_last) {
-        return Err(StorageError::Damaged {
-            path: path.to_owned(),
-            offset: scan.whole_bytes,
-        });
+    let file = File::open(path).map_err(io_error("open", path))?;
+    let length = file.metadata().map_err(io_error("inspect", path))?.len();
+    let mut reader = BufReader::new(file);
+    let mut whole_bytes = 0;
+    while let Some(payload) = record::read_next(&mut reader).map_err(io_error("read", path))? {
+        whole_bytes += (record::HEADER_BYTES + payload.len()) as u64;
+        take_record(path, &payload, vote, entries)?;
     }
-    if torn {
+    if whole_bytes < length {
+        let rest = read_rest(reader, whole_bytes).map_err(io_error("read", path))?;
+        if record::scan(&rest).damaged || !is_last {
+            return Err(StorageError::Damaged {
+                path: path.to_owned(),
+                offset: whole_bytes as usize,
+            });
+        }
         let file = OpenOptions::new()
             .write(true)
             .open(path)
             .map_err(io_error("open", path))?;
-        file.set_len(scan.whole_bytes as u64)
+        file.set_len(whole_bytes)
             .and_then(|()| file.sync_all())
             .map_err(io_error("cut", path))?;
     }
-    for payload in &scan.payloads {
-        match codec::decode(payload).map_err(decode_error(path))? {
-            LogRecord::Vote(wire) => {
-                *vote = VoteRecord::try_from(wire).map_err(decode_error(path))?;
-            }
-            LogRecord::Entries(wires) => {
-                for wire in wires {
-                    let entry = LogEntry::try_from(wire).map_err(decode_error(path))?;
-                    while entries.last().is_some_and(|it| it.index >= entry.index) {
-                        entries.pop();
-                    }
-                    entries.push(entry);
+    Ok(())
+}
+
+/// Returns what stands behind the whole records.
+fn read_rest(mut reader: BufReader<File>, offset: u64) -> io::Result<Bytes> {
+    reader.seek(SeekFrom::Start(offset))?;
+    let mut rest = Vec::new();
+    reader.read_to_end(&mut rest)?;
+    Ok(Bytes::from(rest))
+}
+
+fn take_record(
+    path: &Path,
+    payload: &[u8],
+    vote: &mut VoteRecord,
+    entries: &mut Vec<LogEntry>,
+) -> Result<(), StorageError> {
+    match codec::decode(payload).map_err(decode_error(path))? {
+        LogRecord::Vote(wire) => {
+            *vote = VoteRecord::try_from(wire).map_err(decode_error(path))?;
+        }
+        LogRecord::Entries(wires) => {
+            for wire in wires {
+                let entry = LogEntry::try_from(wire).map_err(decode_error(path))?;
+                while entries.last().is_some_and(|it| it.index >= entry.index) {
+                    entries.pop();
                 }
+                entries.push(entry);
             }
         }
     }
