Send frames in parts of 32 KB

The websocket's buffers grow to the largest message and never shrink, and each of 60 links had carried results of up to 700 KB. Ruled out: the log and the state (they share payloads), the allocator, connections to engines. Change: a frame goes out in parts; buffers stay at one part.

--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -57,8 +57,18 @@
 /// Bytes written before a link's buffer is passed to the system.
 const WRITE_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Largest frame.
-const MAX_FRAME_BYTES: usize = 256 * 1024 * 1024;
+/// Largest frame; longer ones end the link.
+const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
+
+/// Bytes of a frame that go into one message. A link's buffers grow with the largest message
+/// and never shrink.
+const PART_BYTES: usize = 32 * 1024;
+
+/// First byte of a message whose frame ends with it.
+const LAST_PART: u8 = 0;
+
+/// First byte of a message that more parts of the frame follow.
+const MORE_PARTS: u8 = 1;
 
 /// Frames written before the connection is flushed.
 const FLUSH_AFTER_FRAMES: usize = 64;
@@ -79,8 +89,8 @@
     /// A message could not be read.
     #[error("bad message: {0}")]
     Frame(#[from] WireError),
-    /// The first message was no introduction.
-    #[error("no introduction")]
+    /// A message came that doesn't belong there.
+    #[error("unexpected message")]
     Unexpected,
     /// The other side belongs to another cluster.
     #[error("other cluster {0:016x}")]
@@ -252,7 +262,8 @@
     async fn introduce(&self, mut socket: Socket) -> Result<(Socket, HelloFrame), LinkError> {
         let ours = self.state().hello.clone();
         let message = codec::encode(&LinkFrame::Hello(ours.clone()));
-        socket.send(Message::Binary(message)).await?;
+        feed_frame(&mut socket, &message).await?;
+        socket.flush().await?;
         let LinkFrame::Hello(theirs) = next_frame(&mut socket).await? else {
             return Err(LinkError::Unexpected);
         };
@@ -310,10 +321,10 @@
                     }
                 };
                 let send = async {
-                    sink.feed(Message::Binary(first)).await?;
+                    feed_frame(&mut sink, &first).await?;
                     for _ in 0..FLUSH_AFTER_FRAMES {
                         match outbound.try_recv() {
-                            Ok(frame) => sink.feed(Message::Binary(frame)).await?,
+                            Ok(frame) => feed_frame(&mut sink, &frame).await?,
                             Err(_) => break,
                         }
                     }
@@ -346,8 +357,8 @@
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
         .write_buffer_size(WRITE_BUFFER_BYTES)
-        .max_message_size(Some(MAX_FRAME_BYTES))
-        .max_frame_size(Some(MAX_FRAME_BYTES))
+        .max_message_size(Some(2 * PART_BYTES))
+        .max_frame_size(Some(2 * PART_BYTES))
 }
 
 fn tune(stream: &TcpStream) -> std::io::Result<()> {
@@ -355,15 +366,48 @@
     socket2::SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE_LIMIT))
 }
 
+/// Writes a frame in parts.
+async fn feed_frame<S>(sink: &mut S, frame: &[u8]) -> Result<(), tungstenite::Error>
+where
+    S: futures_util::Sink<Message, Error = tungstenite::Error> + Unpin,
+{
+    let mut parts = frame.chunks(PART_BYTES).peekable();
+    while let Some(part) = parts.next() {
+        let mark = match parts.peek() {
+            Some(_) => MORE_PARTS,
+            None => LAST_PART,
+        };
+        let mut message = Vec::with_capacity(1 + part.len());
+        message.push(mark);
+        message.extend_from_slice(part);
+        sink.feed(Message::Binary(Bytes::from(message))).await?;
+    }
+    Ok(())
+}
+
 async fn next_frame<S>(stream: &mut S) -> Result<LinkFrame, LinkError>
 where
     S: futures_util::Stream<Item = Result<Message, tungstenite::Error>> + Unpin,
 {
+    let mut parts = Vec::new();
     while let Some(message) = stream.next().await {
-        match message? {
-            Message::Binary(bytes) => return Ok(codec::decode(&bytes)?),
+        let bytes = match message? {
+            Message::Binary(bytes) => bytes,
             Message::Close(_) => return Err(LinkError::Closed),
-            _ => {}
+            _ => continue,
+        };
+        let Some((mark, part)) = bytes.split_first() else {
+            return Err(LinkError::Unexpected);
+        };
+        if parts.is_empty() && *mark == LAST_PART {
+            return Ok(codec::decode(part)?);
+        }
+        if parts.len() + part.len() > MAX_FRAME_BYTES {
+            return Err(LinkError::Unexpected);
+        }
+        parts.extend_from_slice(part);
+        if *mark == LAST_PART {
+            return Ok(codec::decode(&parts)?);
         }
     }
     Err(LinkError::Closed)
