Stay on a connected target while it is as good as the others

Change: a target without a kept connection counts 1.6 times; observed latency fades. Tests: requests_of_an_idle_entry_stay_on_one_target, and a seeded load against round robin, least loaded and two choices.

--- a/crates/service/src/choice.rs
+++ b/crates/service/src/choice.rs
@@ -24,6 +24,16 @@
 /// Factor on the expected wait at a target in another zone.
 const FAR_FACTOR: f64 = 1.4;
 
+/// Factor on the expected wait at a target to which no connection is kept any more.
+const UNCONNECTED_FACTOR: f64 = 1.6;
+
+/// Time after its last use for which a connection is kept, in milliseconds.
+const CONNECTION_KEPT_MS: u64 = 9_000;
+
+/// Time after which half of what a target's latency differs from the expected one is
+/// forgotten, in milliseconds.
+const LATENCY_HALF_LIFE_MS: f64 = 4_000.0;
+
 /// Penalty of a target that has been silent for a while.
 const SILENT_FACTOR: f64 = 50.0;
 
@@ -34,6 +44,16 @@
     failures: u32,
     ejected_until: ClockTime,
     cold_sent_at: ClockTime,
+    used_at: ClockTime,
+}
+
+impl TargetLoad {
+    /// Returns the latency to expect: an old observation counts less and less.
+    fn expected_ms(&self, now: ClockTime) -> f64 {
+        let age = now.since(self.used_at) as f64;
+        let kept = (-age / LATENCY_HALF_LIFE_MS).exp2();
+        DEFAULT_LATENCY_MS + (self.latency_ms - DEFAULT_LATENCY_MS) * kept
+    }
 }
 
 impl Default for TargetLoad {
@@ -44,6 +64,7 @@
             failures: 0,
             ejected_until: ClockTime::default(),
             cold_sent_at: ClockTime::default(),
+            used_at: ClockTime::default(),
         }
     }
 }
@@ -115,6 +136,8 @@
         let entry = best?.1.clone();
         let load = self.loads.entry(entry.notice.id.clone()).or_default();
         load.outstanding += 1;
+        load.latency_ms = load.expected_ms(now);
+        load.used_at = now;
         if entry.is_cold(now) {
             load.cold_sent_at = now;
         }
@@ -124,7 +147,10 @@
     fn cost(&self, now: ClockTime, entry: &TargetEntry, query: ChoiceQuery<'_>) -> Option<f64> {
         let fresh = TargetLoad::default();
         let load = self.loads.get(&entry.notice.id).unwrap_or(&fresh);
-        let mut cost = load.latency_ms * f64::from(load.outstanding + 1);
+        let mut cost = load.expected_ms(now) * f64::from(load.outstanding + 1);
+        if now.since(load.used_at) >= CONNECTION_KEPT_MS {
+            cost *= UNCONNECTED_FACTOR;
+        }
         if entry.notice.zone != self.zone {
             cost *= FAR_FACTOR;
         }
--- /dev/null
+++ b/crates/service/tests/choice.rs
@@ -0,0 +1,212 @@
+//! The choice of a target for a look-up: zones, failures, slow and cold targets, and a seeded
+//! load against the usual baselines.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rand::RngExt;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_service::choice::ChoiceQuery;
+use bergamotlane_service::choice::TargetChooser;
+use bergamotlane_service::registry::TargetNotice;
+use bergamotlane_service::registry::TargetStage;
+use bergamotlane_service::registry::TargetView;
+
+const START: ClockTime = ClockTime(100_000);
+
+fn view(id: &str, zone: &str) -> TargetView {
+    TargetView {
+        notice: TargetNotice {
+            id: id.to_owned(),
+            service: "desk".to_owned(),
+            address: "10.0.0.1:80".parse().unwrap(),
+            zone: zone.to_owned(),
+            capacity: 6,
+            is_draining: false,
+            cold_left_ms: 0,
+            models: BTreeMap::new(),
+            sequence: 1,
+            born: 1,
+            is_reclaimable: false,
+        },
+        stage: TargetStage::Ready,
+    }
+}
+
+fn chooser(views: &[TargetView]) -> TargetChooser {
+    let mut chooser = TargetChooser::new("a");
+    chooser.update(START, views);
+    chooser
+}
+
+fn choose(chooser: &mut TargetChooser, now: ClockTime, tried: &[String]) -> Option<String> {
+    let query = ChoiceQuery {
+        service: "desk",
+        tried,
+        cold_pause_ms: Some(1_000),
+    };
+    chooser.choose(now, query).map(|it| it.notice.id)
+}
+
+fn three() -> Vec<TargetView> {
+    vec![view("x", "a"), view("y", "b"), view("z", "c")]
+}
+
+#[test]
+fn the_own_zone_goes_first_and_what_was_tried_last() {
+    let mut chooser = chooser(&three());
+    assert_eq!(choose(&mut chooser, START, &[]).as_deref(), Some("x"));
+    let tried = ["x".to_owned(), "y".to_owned()];
+    assert_eq!(choose(&mut chooser, START, &tried).as_deref(), Some("z"));
+    let all = ["x".to_owned(), "y".to_owned(), "z".to_owned()];
+    assert_eq!(choose(&mut chooser, START, &all), None);
+}
+
+#[test]
+fn requests_of_an_idle_entry_stay_on_one_target() {
+    let mut chooser = chooser(&three());
+    let mut random = StdRng::seed_from_u64(1);
+    let mut used = BTreeSet::new();
+    for step in 0..40 {
+        let now = START + step * 3_000;
+        let id = choose(&mut chooser, now, &[]).unwrap();
+        let latency = random.random_range(15..60);
+        chooser.ended(now + latency, &id, Some(latency));
+        used.insert(id);
+    }
+    assert_eq!(
+        used.len(),
+        1,
+        "each further target costs a connection: {used:?}"
+    );
+}
+
+#[test]
+fn a_failing_target_is_left_out_and_tried_again_later() {
+    let mut chooser = chooser(&three());
+    assert_eq!(choose(&mut chooser, START, &[]).as_deref(), Some("x"));
+    chooser.ended(START + 10, "x", None);
+    let next = choose(&mut chooser, START + 20, &[]).unwrap();
+    assert_ne!(next, "x");
+    chooser.ended(START + 50, &next, Some(30));
+    let mut back = false;
+    for step in 0..100 {
+        let now = START + 700 + step * 300;
+        let id = choose(&mut chooser, now, &[]).unwrap();
+        back |= id == "x";
+        chooser.ended(now + 30, &id, Some(30));
+    }
+    assert!(back, "nobody probes but requests, so one must go back");
+}
+
+#[test]
+fn draining_and_evacuated_targets_get_nothing() {
+    let mut views = three();
+    views[0].stage = TargetStage::Draining;
+    let mut chooser = chooser(&views);
+    chooser.set_evacuated(vec!["b".to_owned()]);
+    for step in 0..20 {
+        assert_eq!(
+            choose(&mut chooser, START + step, &[]).as_deref(),
+            Some("z")
+        );
+    }
+}
+
+#[test]
+fn a_cold_target_gets_its_share_only_when_nothing_else_is_left() {
+    let mut views = three();
+    views[0].notice.cold_left_ms = 60_000;
+    let mut with_others = chooser(&views);
+    assert_ne!(choose(&mut with_others, START, &[]).as_deref(), Some("x"));
+    let mut alone = chooser(&views[..1]);
+    let given = (0..100).filter(|it| choose(&mut alone, START + it * 100, &[]).is_some());
+    assert_eq!(given.count(), 10);
+}
+
+/// Mean latency of a policy on three targets of which one is slow for a while.
+fn mean_latency(
+    seed: u64,
+    mut policy: impl FnMut(&mut StdRng, &[u32], ClockTime) -> usize,
+    mut told: impl FnMut(usize, ClockTime, u64),
+) -> f64 {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut running: Vec<(usize, u64, u64)> = Vec::new();
+    let (mut total, mut count) = (0, 0);
+    for step in 0..4_000_u64 {
+        let time = step * 8;
+        let now = START + time;
+        running.retain(|(target, end, latency)| {
+            if *end <= time {
+                told(*target, now, *latency);
+            }
+            *end > time
+        });
+        let mut outstanding = [0_u32; 3];
+        for (target, _, _) in &running {
+            outstanding[*target] += 1;
+        }
+        let target = policy(&mut random, &outstanding, now);
+        let slow = if target == 1 && (1_000..3_000).contains(&step) {
+            6
+        } else {
+            1
+        };
+        let queued = u64::from(outstanding[target].saturating_sub(5)) * 10;
+        let latency = random.random_range(12..45) * slow + queued;
+        running.push((target, time + latency, latency));
+        total += latency;
+        count += 1;
+    }
+    f64::from(total as u32) / f64::from(count)
+}
+
+#[test]
+fn a_slow_target_costs_less_than_under_the_baselines() {
+    let mut ours = 0.0;
+    let mut baselines = [0.0; 3];
+    for seed in 0..6 {
+        let mut views = three();
+        for target in &mut views {
+            target.notice.zone = "a".to_owned();
+        }
+        let chooser = std::cell::RefCell::new(chooser(&views));
+        let ids = ["x", "y", "z"];
+        ours += mean_latency(
+            seed,
+            |_, _, now| {
+                let id = choose(&mut chooser.borrow_mut(), now, &[]).unwrap();
+                ids.iter().position(|it| *it == id).unwrap()
+            },
+            |target, now, latency| chooser.borrow_mut().ended(now, ids[target], Some(latency)),
+        );
+        let mut turn = 0;
+        baselines[0] += mean_latency(
+            seed,
+            |_, _, _| {
+                turn += 1;
+                turn % 3
+            },
+            |_, _, _| {},
+        );
+        let least = |load: &[u32]| (0..3).min_by_key(|it| load[*it]).unwrap();
+        baselines[1] += mean_latency(seed, |_, load, _| least(load), |_, _, _| {});
+        baselines[2] += mean_latency(
+            seed,
+            |random, load, _| {
+                let (one, two) = (random.random_range(0..3), random.random_range(0..3));
+                if load[one] <= load[two] { one } else { two }
+            },
+            |_, _, _| {},
+        );
+    }
+    for (name, baseline) in ["round robin", "least loaded", "two choices"]
+        .iter()
+        .zip(baselines)
+    {
+        assert!(ours < baseline * 0.95, "{name}: {baseline}, ours: {ours}");
+    }
+}
