Try a second target after half the latency target

Cause: look-ups that are late wait out one slow target; the second try began after the target time, too late to help. Change: the second try begins after 50% of the latency target, 40 ms at least.

--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -38,10 +38,10 @@
 use bergamotlane_storage::clock::unix_ms;
 
 /// Part of the latency target after which a repeatable request is tried at a second target.
-const HEDGE_TARGET_PERCENT: u64 = 130;
+const HEDGE_TARGET_PERCENT: u64 = 50;
 
 /// Shortest wait before a second target is tried, in milliseconds.
-const LEAST_HEDGE_MS: u64 = 100;
+const LEAST_HEDGE_MS: u64 = 40;
 
 /// Time left below which no further try is made, in milliseconds.
 const LEAST_TRY_MS: u64 = 20;
