--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,9 +18,10 @@
 use std::env;
 use std::process::ExitCode;
 
+use config::ConfigRequest;
+
 use bergamotlane_storage as storage;
 use bergamotlane_storage::clock;
-use config::ConfigRequest;
 
 /// Exit status for bad settings.
 const BAD_SETTINGS: u8 = 2;
--- a/crates/service/src/dialect.rs
+++ b/crates/service/src/dialect.rs
@@ -1,11 +1,11 @@
 //! What an adapter knows of the other side's protocol: how a request to a target is marked, and
 //! what an answer says about itself.
 
+use bytes::Bytes;
 use http::HeaderMap;
 
 use crate::state::UsageCounts;
 use crate::weights::OrderReport;
-use bytes::Bytes;
 
 /// What a request to a target has to say besides what the caller sent.
 #[derive(Debug, Clone, Copy, Default)]
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -26,6 +26,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use self::core::KeeperCore;
 use crate::dialect::TargetDialect;
 use crate::frames::HelloFrame;
 use crate::link::LinkEvent;
@@ -40,7 +41,6 @@
 use bergamotlane_storage::DataFolder;
 use bergamotlane_storage::StorageError;
 use bergamotlane_storage::clock::now;
-use core::KeeperCore;
 
 /// Settings of a keeper.
 #[derive(Debug, Clone)]
