Keep each engine up to date for one of several models

Loads went to the engines in the order of their IDs for every model. Change: engines are shared out among models, and an engine's orders are for its own.

--- a/crates/service/src/weights.rs
+++ b/crates/service/src/weights.rs
@@ -2,8 +2,13 @@
 //!
 //! An engine accepts an order only at the count of orders that the order names, so one that is
 //! carried out late can't undo a newer one. Where the count is unknown, the engine is asked.
+//!
+//! Engines can load only so fast. Where they serve several models, each engine is kept up to
+//! date for one of them, so that the engines with fresh weights differ from model to model and
+//! all of them have work.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 
 use bergamotlane_coordination::clock::ClockTime;
@@ -106,9 +111,81 @@
 #[derive(Debug, Default)]
 pub struct WeightPlanner {
     engines: HashMap<String, OrderState>,
+    homes: ModelHomes,
     fenced_until: ClockTime,
 }
 
+/// Which model each engine is kept up to date for.
+#[derive(Debug, Default)]
+struct ModelHomes {
+    models: BTreeMap<String, String>,
+}
+
+impl ModelHomes {
+    /// Shares the engines out anew: those that have a model keep it while the shares differ by
+    /// one at most.
+    fn update(&mut self, targets: &[WeightTarget], named: &BTreeMap<String, u64>) {
+        let models: BTreeSet<&str> = targets.iter().map(|it| it.model.as_str()).collect();
+        if models.len() < 2 {
+            self.models.clear();
+            return;
+        }
+        let mut lags: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
+        for target in targets {
+            let newest = named.get(&target.model).copied().unwrap_or_default();
+            let lag = newest.saturating_sub(target.version);
+            let own = lags.entry(&target.id).or_default();
+            own.insert(&target.model, lag);
+        }
+        self.models.retain(|id, model| {
+            lags.get(id.as_str())
+                .is_some_and(|own| own.contains_key(model.as_str()))
+        });
+        let quota = lags.len().div_ceil(models.len());
+        for (id, own) in &lags {
+            if self.models.contains_key(*id) {
+                continue;
+            }
+            let rank = |model: &str| (self.count(model) >= quota, own[model], self.count(model));
+            if let Some(model) = own.keys().min_by_key(|it| rank(it)) {
+                self.models.insert((*id).to_owned(), (*model).to_owned());
+            }
+        }
+        self.balance(&models, &lags);
+    }
+
+    fn count(&self, model: &str) -> usize {
+        self.models.values().filter(|it| *it == model).count()
+    }
+
+    fn balance(&mut self, models: &BTreeSet<&str>, lags: &BTreeMap<&str, BTreeMap<&str, u64>>) {
+        for _ in 0..lags.len() {
+            let most = models.iter().max_by_key(|it| self.count(it));
+            let least = models.iter().min_by_key(|it| self.count(it));
+            let (Some(most), Some(least)) = (most, least) else {
+                return;
+            };
+            if self.count(most) <= self.count(least) + 1 {
+                return;
+            }
+            let candidates = self.models.iter().filter(|(_, model)| model == most);
+            let moved = candidates
+                .filter_map(|(id, _)| Some((lags.get(id.as_str())?.get(least)?, id)))
+                .min()
+                .map(|(_, id)| id.clone());
+            let Some(id) = moved else {
+                return;
+            };
+            self.models.insert(id, (*least).to_owned());
+        }
+    }
+
+    fn allows(&self, target: &WeightTarget) -> bool {
+        let home = self.models.get(&target.id);
+        home.is_none_or(|it| *it == target.model)
+    }
+}
+
 impl WeightPlanner {
     /// Returns the model that an engine is loading.
     pub fn loading(&self, now: ClockTime, id: &str) -> Option<&str> {
@@ -138,6 +215,7 @@
                 };
             }
         }
+        self.homes.update(targets, named);
         let limit = LEAST_LOADS.max(self.engines.len() / ENGINES_PER_LOAD);
         let states = self.engines.values();
         let busy = states
@@ -146,6 +224,7 @@
         let mut room = limit.saturating_sub(busy);
         let mut behind: Vec<&WeightTarget> = targets
             .iter()
+            .filter(|it| self.homes.allows(it))
             .filter(|it| {
                 named
                     .get(&it.model)
--- /dev/null
+++ b/crates/service/tests/weights.rs
@@ -0,0 +1,264 @@
+//! Orders for weights: how many at once, which engines first, unclear answers, several models.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use rstest::rstest;
+
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_service::weights::OrderAnswer;
+use bergamotlane_service::weights::OrderReport;
+use bergamotlane_service::weights::WeightPlanner;
+use bergamotlane_service::weights::WeightStep;
+use bergamotlane_service::weights::WeightTarget;
+
+const START: ClockTime = ClockTime(10_000);
+const LOAD_MS: u64 = 900;
+
+fn target(id: u32, model: &str, version: u64) -> WeightTarget {
+    WeightTarget {
+        id: format!("e{id:02}"),
+        born: 1,
+        model: model.to_owned(),
+        version,
+    }
+}
+
+fn named(versions: &[(&str, u64)]) -> BTreeMap<String, u64> {
+    versions
+        .iter()
+        .map(|(model, it)| ((*model).to_owned(), *it))
+        .collect()
+}
+
+fn report(accepted: u64, busy: bool) -> OrderReport {
+    OrderReport {
+        busy,
+        accepted,
+        models: BTreeMap::new(),
+    }
+}
+
+fn ids(steps: &[WeightStep]) -> Vec<String> {
+    let id = |step: &WeightStep| match step {
+        WeightStep::Order { id, .. } | WeightStep::Inspect { id, .. } => id.clone(),
+    };
+    steps.iter().map(id).collect()
+}
+
+/// A planner that knows the count of orders of each engine.
+fn informed(targets: &[WeightTarget], versions: &BTreeMap<String, u64>) -> WeightPlanner {
+    let mut planner = WeightPlanner::default();
+    for _ in 0..200 {
+        for step in planner.next_steps(START, targets, versions, &BTreeMap::new()) {
+            if let WeightStep::Inspect { id, born } = step {
+                planner.inspected(START, &id, born, Some(&report(0, false)));
+            }
+        }
+    }
+    planner
+}
+
+#[test]
+fn an_engine_is_asked_for_its_count_before_its_first_order() {
+    let targets = [target(1, "m", 1)];
+    let versions = named(&[("m", 2)]);
+    let mut planner = WeightPlanner::default();
+    let steps = planner.next_steps(START, &targets, &versions, &BTreeMap::new());
+    assert!(matches!(steps[..], [WeightStep::Inspect { .. }]));
+    planner.inspected(START + 5, "e01", 1, Some(&report(4, false)));
+    let steps = planner.next_steps(START + 6, &targets, &versions, &BTreeMap::new());
+    assert!(
+        matches!(
+            steps[..],
+            [WeightStep::Order {
+                expect: 4,
+                version: 2,
+                ..
+            }]
+        ),
+        "{steps:?}"
+    );
+}
+
+#[rstest]
+#[case::small_fleet(6, 2)]
+#[case::eleven(11, 2)]
+#[case::large_fleet(50, 10)]
+fn only_a_few_engines_load_at_a_time(#[case] engines: u32, #[case] expected: usize) {
+    let targets: Vec<WeightTarget> = (0..engines).map(|it| target(it, "m", 1)).collect();
+    let mut planner = WeightPlanner::default();
+    let steps = planner.next_steps(START, &targets, &named(&[("m", 2)]), &BTreeMap::new());
+    assert_eq!(steps.len(), expected);
+    let more = planner.next_steps(START + 1, &targets, &named(&[("m", 2)]), &BTreeMap::new());
+    assert!(more.is_empty());
+}
+
+#[test]
+fn engines_that_open_jobs_can_not_use_go_first() {
+    let targets = [
+        target(1, "m", 4),
+        target(2, "m", 3),
+        target(3, "m", 4),
+        target(4, "m", 2),
+    ];
+    let mut planner = WeightPlanner::default();
+    let steps = planner.next_steps(START, &targets, &named(&[("m", 5)]), &named(&[("m", 4)]));
+    assert_eq!(ids(&steps), ["e04", "e02"]);
+}
+
+#[rstest]
+#[case::taken(OrderAnswer::Taken, 100, 0)]
+#[case::holds(OrderAnswer::Holds, 100, 1)]
+#[case::conflict_waits(OrderAnswer::Conflict, 100, 0)]
+#[case::conflict_asks_again(OrderAnswer::Conflict, 500, 1)]
+#[case::unclear_waits(OrderAnswer::Unclear, 1_000, 0)]
+#[case::unclear_asks_again(OrderAnswer::Unclear, 1_300, 1)]
+#[case::refused_tries_again(OrderAnswer::Refused, 500, 1)]
+#[case::fenced_is_final(OrderAnswer::Fenced, 30_000, 0)]
+fn an_answer_decides_when_the_engine_is_asked_again(
+    #[case] answer: OrderAnswer,
+    #[case] after_ms: u64,
+    #[case] steps: usize,
+) {
+    let targets = [target(1, "m", 1)];
+    let versions = named(&[("m", 2)]);
+    let mut planner = informed(&targets, &versions);
+    planner.ordered(START, "e01", 1, answer);
+    let next = planner.next_steps(START + after_ms, &targets, &versions, &BTreeMap::new());
+    assert_eq!(next.len(), steps, "{next:?}");
+}
+
+#[test]
+fn an_answer_of_an_earlier_start_counts_for_nothing() {
+    let mut targets = [target(1, "m", 1)];
+    let versions = named(&[("m", 2)]);
+    let mut planner = informed(&targets, &versions);
+    targets[0].born = 2;
+    let steps = planner.next_steps(START, &targets, &versions, &BTreeMap::new());
+    assert!(matches!(steps[..], [WeightStep::Inspect { born: 2, .. }]));
+    planner.ordered(START, "e01", 1, OrderAnswer::Taken);
+    assert_eq!(planner.loading(START, "e01"), None);
+}
+
+#[test]
+fn a_load_blocks_its_model_alone() {
+    let targets = [target(1, "m", 1)];
+    let mut planner = informed(&targets, &named(&[("m", 2)]));
+    planner.ordered(START, "e01", 1, OrderAnswer::Taken);
+    assert_eq!(planner.loading(START + 100, "e01"), Some("m"));
+    assert_eq!(planner.loading(START + 2_000, "e01"), None);
+}
+
+/// Engines whose weights a step may use, by model, after some seconds of new versions.
+fn fresh_engines(
+    models: &[&str],
+    engines: u32,
+    seconds: u64,
+) -> BTreeMap<String, BTreeSet<String>> {
+    let mut targets: Vec<WeightTarget> = (0..engines)
+        .flat_map(|id| models.iter().map(move |model| target(id, model, 1)))
+        .collect();
+    let mut newest: BTreeMap<String, u64> = named(&[]);
+    let mut planner = WeightPlanner::default();
+    let mut loading: Vec<(String, String, u64, ClockTime)> = Vec::new();
+    for step in 0..seconds * 20 {
+        let now = START + step * 50;
+        for model in models {
+            newest.insert((*model).to_owned(), 2 + step / 80);
+        }
+        loading.retain(|(id, model, version, done)| {
+            if now < *done {
+                return true;
+            }
+            let own = targets
+                .iter_mut()
+                .find(|it| it.id == *id && it.model == *model);
+            own.unwrap().version = *version;
+            false
+        });
+        for action in planner.next_steps(now, &targets, &newest, &BTreeMap::new()) {
+            match action {
+                WeightStep::Inspect { id, born } => {
+                    planner.inspected(now, &id, born, Some(&report(0, false)));
+                }
+                WeightStep::Order {
+                    id,
+                    born,
+                    model,
+                    version,
+                    ..
+                } => {
+                    planner.ordered(now, &id, born, OrderAnswer::Taken);
+                    loading.push((id, model, version, now + LOAD_MS));
+                }
+            }
+        }
+    }
+    let mut fresh: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+    for target in targets {
+        if target.version + 1 >= newest[&target.model] {
+            fresh.entry(target.model).or_default().insert(target.id);
+        }
+    }
+    fresh
+}
+
+#[test]
+fn each_of_several_models_has_fresh_engines_of_its_own() {
+    let fresh = fresh_engines(&["a", "b", "c"], 48, 22);
+    let all: BTreeSet<&String> = fresh.values().flatten().collect();
+    for (model, engines) in &fresh {
+        assert!(engines.len() >= 14, "{model} has {}", engines.len());
+    }
+    assert!(
+        all.len() >= 44,
+        "only {} of 48 engines are fresh for any model",
+        all.len()
+    );
+}
+
+#[test]
+fn one_model_has_all_engines() {
+    assert!(fresh_engines(&["a"], 11, 22)["a"].len() >= 10);
+}
+
+#[test]
+fn the_shares_follow_engines_that_come_and_go() {
+    let both = |ids: std::ops::Range<u32>| -> Vec<WeightTarget> {
+        ids.flat_map(|id| [target(id, "a", 1), target(id, "b", 1)])
+            .collect()
+    };
+    let versions = named(&[("a", 2), ("b", 2)]);
+    let mut planner = WeightPlanner::default();
+    let mut shares = |mut targets: Vec<WeightTarget>| {
+        let mut orders: BTreeMap<String, BTreeSet<String>> = BTreeMap::new();
+        for round in 0..40 {
+            let now = START + round * 1_000;
+            for step in planner.next_steps(now, &targets, &versions, &BTreeMap::new()) {
+                match step {
+                    WeightStep::Inspect { id, born } => {
+                        planner.inspected(now, &id, born, Some(&report(0, false)));
+                    }
+                    WeightStep::Order {
+                        id, born, model, ..
+                    } => {
+                        planner.ordered(now, &id, born, OrderAnswer::Holds);
+                        let own = targets
+                            .iter_mut()
+                            .find(|it| it.id == id && it.model == model);
+                        own.unwrap().version = 2;
+                        orders.entry(model).or_default().insert(id);
+                    }
+                }
+            }
+        }
+        orders
+    };
+    let first = shares(both(0..4));
+    assert_eq!((first["a"].len(), first["b"].len()), (2, 2));
+    assert!(first["a"].is_disjoint(&first["b"]));
+    let second = shares(both(1..7));
+    assert_eq!((second["a"].len(), second["b"].len()), (3, 3));
+    assert!(second["a"].is_disjoint(&second["b"]));
+}
