Tell a pause for new weights from a slow engine

The mean time between events then made the engine look slow, its runs were moved off and it got no new ones for seconds; with 10 of 48 engines loading at any time most looked slow. Change: a run's pace is the median of its latest three gaps; loads are planned at each tick, and the limit is rounded. Test: the_pace_of_a_run_is_that_of_its_latest_events.

--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -52,7 +52,7 @@
 const TAKEN_KEPT_MS: u64 = 3_000;
 
 /// Time after which an engine is believed to have the version that it took, in milliseconds.
-const BELIEVED_AFTER_MS: u64 = 950;
+const BELIEVED_AFTER_MS: u64 = 910;
 
 /// Why a duty's call has no answer.
 enum DutyFailure {
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -239,8 +239,8 @@
             lead.duty_at = time + DUTY_INTERVAL_MS;
             self.repair_group(time);
             self.do_duties(time);
-            self.order_weights(time);
         }
+        self.order_weights(time);
         self.push_views();
         self.answer_waiters(None);
         self.flush_results();
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -28,6 +28,7 @@
 use crate::pool::TargetPool;
 use crate::schedule::PartialText;
 use crate::schedule::RunEnd;
+use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
 
 /// Silence of an engine after which a run is taken elsewhere.
@@ -60,35 +61,35 @@
     pub partial: PartialText,
 }
 
-/// How far a run has come, for others to look at.
+/// How fast a run gets its events, for others to look at.
 #[derive(Debug, Default)]
 pub struct RunProgress {
     events: AtomicU32,
-    first_at: AtomicU64,
     last_at: AtomicU64,
+    gaps_ms: [AtomicU64; 3],
 }
 
 impl RunProgress {
-    fn saw_event(&self) {
-        let time = now().0;
-        if self.events.fetch_add(1, Ordering::Relaxed) == 0 {
-            self.first_at.store(time, Ordering::Relaxed);
+    /// Notes that an event came.
+    pub fn saw_event(&self, now: ClockTime) {
+        let place = self.events.fetch_add(1, Ordering::Relaxed);
+        let last = self.last_at.swap(now.0, Ordering::Relaxed);
+        if let Some(gap) = place.checked_sub(1) {
+            let slot = &self.gaps_ms[gap as usize % self.gaps_ms.len()];
+            slot.store(now.0.saturating_sub(last), Ordering::Relaxed);
         }
-        self.last_at.store(time, Ordering::Relaxed);
     }
 
-    /// Returns the time between events, in milliseconds, once it can be told. Silence counts
-    /// once it is longer than the mean.
+    /// Returns the time between the latest events, in milliseconds: the median of three, so
+    /// that one pause, as for new weights, does not make an engine look slow.
     pub fn pace_ms(&self) -> Option<f64> {
-        let gaps = self.events.load(Ordering::Relaxed).checked_sub(1)?;
-        let first = self.first_at.load(Ordering::Relaxed);
-        let last = self.last_at.load(Ordering::Relaxed);
-        let silence = now().0.saturating_sub(last) as f64;
-        let mean = match gaps {
-            0 => silence,
-            _ => last.saturating_sub(first) as f64 / f64::from(gaps),
-        };
-        (gaps > 0 || silence > 0.0).then_some(mean.max(silence))
+        let gaps = self.events.load(Ordering::Relaxed).saturating_sub(1);
+        if (gaps as usize) < self.gaps_ms.len() {
+            return None;
+        }
+        let mut latest = self.gaps_ms.each_ref().map(|it| it.load(Ordering::Relaxed));
+        latest.sort_unstable();
+        Some(latest[1] as f64)
     }
 }
 
@@ -232,7 +233,7 @@
             if !take_event(event, version, partial) {
                 return false;
             }
-            progress.saw_event();
+            progress.saw_event(now());
         }
     }
 }
--- a/crates/service/src/weights.rs
+++ b/crates/service/src/weights.rs
@@ -14,7 +14,7 @@
 use bergamotlane_coordination::clock::ClockTime;
 
 /// Time that a change of weights keeps an engine busy, in milliseconds.
-const LOAD_TIME_MS: u64 = 950;
+const LOAD_TIME_MS: u64 = 910;
 
 /// Pause before an engine is asked again after an unclear answer, in milliseconds.
 const UNCLEAR_PAUSE_MS: u64 = 1_200;
@@ -216,7 +216,8 @@
             }
         }
         self.homes.update(targets, named);
-        let limit = LEAST_LOADS.max(self.engines.len() / ENGINES_PER_LOAD);
+        let share = (self.engines.len() + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD;
+        let limit = LEAST_LOADS.max(share);
         let states = self.engines.values();
         let busy = states
             .filter(|it| it.asked || now < it.loading_until)
--- a/crates/service/tests/targets/run.rs
+++ b/crates/service/tests/targets/run.rs
@@ -10,6 +10,7 @@
 use crate::support::Manner;
 use crate::support::StandIn;
 use crate::support::TestDialect;
+use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_service::pool::TargetPool;
 use bergamotlane_service::run::RunProgress;
 use bergamotlane_service::run::RunRequest;
@@ -104,3 +105,23 @@
     let end = run(Manner::ChangesVersion, 2, PartialText::default()).await;
     assert_eq!(end, RunEnd::Broken(PartialText::default()));
 }
+
+#[rstest]
+#[case::steady(&[40, 40, 40, 40], Some(40.0))]
+#[case::one_pause_for_new_weights(&[40, 900, 40], Some(40.0))]
+#[case::slow(&[160, 150, 170], Some(160.0))]
+#[case::slow_since_a_while(&[40, 40, 160, 150], Some(150.0))]
+#[case::too_few_to_tell(&[40, 900], None)]
+fn the_pace_of_a_run_is_that_of_its_latest_events(
+    #[case] gaps: &[u64],
+    #[case] expected: Option<f64>,
+) {
+    let progress = RunProgress::default();
+    let mut time = ClockTime(1_000);
+    progress.saw_event(time);
+    for gap in gaps {
+        time = time + *gap;
+        progress.saw_event(time);
+    }
+    assert_eq!(progress.pace_ms(), expected);
+}
--- a/crates/service/tests/weights.rs
+++ b/crates/service/tests/weights.rs
@@ -84,6 +84,7 @@
 #[rstest]
 #[case::small_fleet(6, 2)]
 #[case::eleven(11, 2)]
+#[case::nearly_ten(48, 10)]
 #[case::large_fleet(50, 10)]
 fn only_a_few_engines_load_at_a_time(#[case] engines: u32, #[case] expected: usize) {
     let targets: Vec<WeightTarget> = (0..engines).map(|it| target(it, "m", 1)).collect();
