Split the keeper's core, the scheduler and the links; one copy of pending calls

Moves only: peers, repair and saved targets out of the keeper's core and lead, runs' types out of the scheduler, frames in parts out of the link, PendingCalls into the port.

--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -14,7 +13,6 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
@@ -33,8 +31,8 @@
 use crate::metrics::METRICS;
 use crate::plan::RouteIndex;
 use crate::port::CallRequest;
-use crate::port::CallResult;
 use crate::port::LeaderPort;
+use crate::port::PendingCalls;
 use crate::usage::UsageSums;
 use bergamotlane_storage::clock::now;
 
@@ -127,8 +125,7 @@
     leader: Option<(u64, LinkId)>,
     view_term: u64,
     keepers: BTreeSet<SocketAddr>,
-    pending: HashMap<u64, (LinkId, oneshot::Sender<CallResult>)>,
-    next_call: u64,
+    calls: PendingCalls,
     told: UsageSums,
 }
 
@@ -176,8 +173,7 @@
         leader: None,
         view_term: 0,
         keepers: BTreeSet::new(),
-        pending: HashMap::new(),
-        next_call: 0,
+        calls: PendingCalls::default(),
         told: UsageSums::default(),
     };
     tokio::spawn(entry.run());
@@ -196,7 +192,7 @@
                     None => return,
                 },
                 request = self.requests.recv() => match request {
-                    Some(request) => self.on_request(request),
+                    Some(request) => self.call_leader(request),
                     None => return,
                 },
                 Some(seeds) = self.seeds.recv() => {
@@ -232,7 +228,7 @@
                 if self.leader.is_some_and(|(_, it)| it == link) {
                     self.lose_leader();
                 }
-                self.fail_calls(link);
+                self.calls.lose_link(link);
             }
             LinkEvent::Frame(link, frame) => self.on_frame(link, frame),
         }
@@ -247,10 +243,7 @@
                 {
                     self.lose_leader();
                 }
-                if let Some((_, sender)) = self.pending.remove(&id) {
-                    // The caller may have left.
-                    sender.send(CallResult::Answered(reply)).ok();
-                }
+                self.calls.answer(id, reply);
             }
             LinkFrame::Hello(_)
             | LinkFrame::Consensus(_)
@@ -333,39 +326,14 @@
         self.shared.known.send_replace(true);
     }
 
-    fn on_request(&mut self, request: CallRequest) {
-        let Some((_, link)) = self.leader else {
-            // The caller may have left.
-            request.reply.send(CallResult::NoLeader).ok();
-            return;
-        };
-        self.next_call += 1;
-        let id = self.next_call;
-        let call = request.call;
-        if self.hub.send(link, &LinkFrame::Call { id, call }) {
-            self.pending.insert(id, (link, request.reply));
-        } else {
-            request.reply.send(CallResult::NoLeader).ok();
-        }
-    }
-
-    fn fail_calls(&mut self, link: LinkId) {
-        let lost: Vec<u64> = self
-            .pending
-            .iter()
-            .filter(|(_, (it, _))| *it == link)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in lost {
-            if let Some((_, sender)) = self.pending.remove(&id) {
-                sender.send(CallResult::Broken).ok();
-            }
-        }
+    fn call_leader(&mut self, request: CallRequest) {
+        let link = self.leader.map(|(_, link)| link);
+        self.calls.send(&self.hub, link, request);
     }
 
     fn report(&mut self) {
         self.shared.forwarder.prune();
-        self.pending.retain(|_, (_, sender)| !sender.is_closed());
+        self.calls.prune();
         let sums = self.shared.forwarder.usage();
         if sums == self.told {
             return;
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -1,10 +1,8 @@
 //! State and loop of the control thread.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -17,6 +15,7 @@
 use super::KeeperSettings;
 use super::LeaseWatch;
 use super::lead::LeadState;
+use super::targets::load_targets;
 use crate::dialect::TargetDialect;
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
@@ -28,6 +27,7 @@
 use crate::pool::TargetPool;
 use crate::port::CallRequest;
 use crate::port::CallResult;
+use crate::port::PendingCalls;
 use crate::registry::TargetView;
 use crate::state::ServiceState;
 use crate::usage::UsageTally;
@@ -43,10 +43,7 @@
 use bergamotlane_storage::FolderContent;
 use bergamotlane_storage::SnapshotTerms;
 use bergamotlane_storage::clock::now;
-use bergamotlane_storage::load_record;
-use bergamotlane_storage::save_record;
 use bergamotlane_wire::ConsensusMessageWire;
-use bergamotlane_wire::codec;
 
 /// Time between two looks at the timers.
 const TICK: Duration = Duration::from_millis(20);
@@ -54,15 +51,6 @@
 /// Inputs taken before the timers are looked at again.
 const INPUT_BATCH: usize = 256;
 
-/// Time for which a keeper that is gone is still dialled, in milliseconds.
-const KEEPER_KEPT_MS: u64 = 30_000;
-
-/// File that holds the targets known last.
-const TARGETS_FILE: &str = "targets";
-
-/// Longest time for which a change of the targets is not saved, in milliseconds.
-const TARGETS_PAUSE_MS: u64 = 700;
-
 /// Pause before a failed data folder is opened again, in milliseconds.
 const REOPEN_PAUSE_MS: u64 = 500;
 
@@ -109,8 +97,7 @@
     pub(super) links: BTreeMap<LinkId, (HelloFrame, bool)>,
     pub(super) keepers: BTreeMap<SocketAddr, ClockTime>,
     pub(super) pending: BTreeMap<u64, PendingChange>,
-    pub(super) forwarded: HashMap<u64, (LinkId, oneshot::Sender<CallResult>)>,
-    pub(super) next_call: u64,
+    pub(super) calls: PendingCalls,
     pub(super) leader: Option<(u64, LinkId)>,
     pub(super) lead: Option<LeadState>,
     pub(super) last_targets: Vec<TargetView>,
@@ -118,20 +105,6 @@
     pub(super) tally: UsageTally,
 }
 
-/// Returns the targets that were known when the process last ran.
-fn load_targets(data: &Path) -> Vec<TargetView> {
-    let Some(record) = load_record(&data.join(TARGETS_FILE)) else {
-        return Vec::new();
-    };
-    match codec::decode(&record) {
-        Ok(targets) => targets,
-        Err(error) => {
-            spdlog::warn!("storage: targets unreadable", kv: { error = error.to_string() });
-            Vec::new()
-        }
-    }
-}
-
 fn open_voter(folder: DataFolder, content: FolderContent, time: ClockTime) -> DiskVoter {
     let start = NodeStart {
         node: NodeId(folder.identity().node),
@@ -175,8 +148,7 @@
             links: BTreeMap::new(),
             keepers: BTreeMap::new(),
             pending: BTreeMap::new(),
-            forwarded: HashMap::new(),
-            next_call: 0,
+            calls: PendingCalls::default(),
             leader: None,
             lead: None,
             last_targets,
@@ -226,24 +198,6 @@
         }
     }
 
-    pub(super) fn dial(&mut self) {
-        let time = now();
-        let members: Vec<SocketAddr> = self
-            .voter
-            .iter()
-            .flat_map(|it| it.node.membership().members())
-            .filter_map(|(_, record)| record.address.parse().ok())
-            .collect();
-        self.keepers
-            .retain(|_, at| time.since(*at) < KEEPER_KEPT_MS);
-        let mut wanted: BTreeSet<SocketAddr> = self.settings.seeds.clone();
-        wanted.extend(members);
-        wanted.extend(self.keepers.keys());
-        self.hub.update_hello(|it| it.keepers = wanted.clone());
-        let _runtime = self.runtime.enter();
-        self.hub.want(wanted);
-    }
-
     fn on_link(&mut self, event: LinkEvent) {
         match event {
             LinkEvent::Up {
@@ -256,96 +210,12 @@
         }
     }
 
-    fn on_link_up(&mut self, link: LinkId, hello: HelloFrame, dialled: bool) {
-        let time = now();
-        if let Some(cluster) = hello.cluster {
-            self.join_cluster(cluster);
-        }
-        let mut fresh = false;
-        if let Some(address) = hello.address {
-            fresh |= self.keepers.insert(address, time).is_none();
-        }
-        if hello.node.is_some() {
-            for address in &hello.keepers {
-                fresh |= !self.keepers.contains_key(address);
-                self.keepers.entry(*address).or_insert(time);
-            }
-        }
-        self.links.insert(link, (hello, dialled));
-        if fresh {
-            self.dial();
-        }
-        self.note_successor(link);
-        self.tell_standing(link);
-        self.welcome(link);
-    }
-
-    /// Notes that a voter's instance has come back with another folder.
-    fn note_successor(&mut self, link: LinkId) {
-        let (Some((hello, _)), Some(voter)) = (self.links.get(&link), &mut self.voter) else {
-            return;
-        };
-        let (Some(node), Some(address)) = (hello.node, hello.address) else {
-            return;
-        };
-        let address = address.to_string();
-        let gone: Vec<NodeId> = voter
-            .node
-            .membership()
-            .voters
-            .iter()
-            .filter(|(id, record)| {
-                id.0 != node && record.name == hello.name && record.address == address
-            })
-            .map(|(id, _)| *id)
-            .collect();
-        for id in gone {
-            voter.node.note_gone(now(), id);
-        }
-    }
-
-    /// Tells another keeper whether this one leads, so that it need not wait for a leader that
-    /// is gone.
-    fn tell_standing(&self, link: LinkId) {
-        let to_keeper = self
-            .links
-            .get(&link)
-            .is_some_and(|(hello, _)| hello.node.is_some());
-        if let Some(voter) = self.voter.as_ref().filter(|_| to_keeper) {
-            let wire = ConsensusMessageWire::from(&voter.node.standing());
-            self.hub.send(link, &LinkFrame::Consensus(wire));
-        }
-    }
-
-    fn on_link_down(&mut self, link: LinkId) {
-        self.links.remove(&link);
-        if self.leader.is_some_and(|(_, it)| it == link) {
-            self.leader = None;
-        }
-        let lost: Vec<u64> = self
-            .forwarded
-            .iter()
-            .filter(|(_, (it, _))| *it == link)
-            .map(|(id, _)| *id)
-            .collect();
-        for id in lost {
-            if let Some((_, sender)) = self.forwarded.remove(&id) {
-                sender.send(CallResult::Broken).ok();
-            }
-        }
-    }
-
     fn on_frame(&mut self, link: LinkId, frame: LinkFrame) {
         match frame {
             LinkFrame::Ping(hint) => self.on_hint(link, hint),
             LinkFrame::Consensus(message) => self.on_consensus(link, message),
             LinkFrame::Call { id, call } => self.handle_call(call, CallOrigin::Link(link, id)),
-            LinkFrame::Reply { id, reply } => {
-                if let Some((_, sender)) = self.forwarded.remove(&id) {
-                    // The caller may have left.
-                    sender.send(CallResult::Answered(reply)).ok();
-                }
-            }
+            LinkFrame::Reply { id, reply } => self.calls.answer(id, reply),
             LinkFrame::View(view) => {
                 if let Some(targets) = view.targets {
                     self.last_targets = targets;
@@ -374,26 +244,6 @@
         }
     }
 
-    /// Sees to it that the targets are saved soon.
-    pub(super) fn targets_changed(&mut self) {
-        let due = now() + TARGETS_PAUSE_MS;
-        self.targets_due = self.targets_due.or(Some(due));
-    }
-
-    fn save_targets(&mut self, time: ClockTime) {
-        if self.targets_due.is_none_or(|it| time < it) {
-            return;
-        }
-        self.targets_due = None;
-        if let Some(lead) = &self.lead {
-            self.last_targets = lead.registry.views(time);
-        }
-        let path = self.settings.data.join(TARGETS_FILE);
-        if let Err(error) = save_record(&path, &codec::encode(&self.last_targets)) {
-            spdlog::warn!("storage: targets not saved", kv: { error = error.to_string() });
-        }
-    }
-
     fn on_consensus(&mut self, link: LinkId, wire: ConsensusMessageWire) {
         let node = self.links.get(&link).and_then(|(hello, _)| hello.node);
         let (Some(node), Some(voter)) = (node, &mut self.voter) else {
@@ -412,34 +262,13 @@
         self.carry_out();
     }
 
-    fn on_hint(&mut self, link: LinkId, hint: LeadHint) {
-        let known = self.leader.map(|(term, _)| term);
-        if hint.leads && known.is_none_or(|term| term <= hint.term) {
-            self.leader = Some((hint.term, link));
-        }
-        if !hint.leads && self.leader.is_some_and(|(_, it)| it == link) {
-            self.leader = None;
-        }
-    }
-
     fn on_request(&mut self, request: CallRequest) {
         if self.is_confirmed() {
             self.handle_call(request.call, CallOrigin::Local(request.reply));
             return;
         }
-        let Some((_, link)) = self.leader else {
-            // The caller may have left.
-            request.reply.send(CallResult::NoLeader).ok();
-            return;
-        };
-        self.next_call += 1;
-        let id = self.next_call;
-        let call = request.call;
-        if self.hub.send(link, &LinkFrame::Call { id, call }) {
-            self.forwarded.insert(id, (link, request.reply));
-        } else {
-            request.reply.send(CallResult::NoLeader).ok();
-        }
+        let link = self.leader.map(|(_, link)| link);
+        self.calls.send(&self.hub, link, request);
     }
 
     fn on_event(&mut self, event: KeeperEvent) {
@@ -491,7 +320,7 @@
         self.lead_tick();
         self.carry_out();
         self.save_targets(time);
-        self.forwarded.retain(|_, (_, sender)| !sender.is_closed());
+        self.calls.prune();
     }
 
     /// Opens the data folder again after storage has failed.
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -24,12 +24,12 @@
 use crate::run::RunProgress;
 use crate::run::RunRequest;
 use crate::run::run_item;
-use crate::schedule::EngineSlot;
-use crate::schedule::JobTerms;
-use crate::schedule::RunEnd;
-use crate::schedule::RunKey;
-use crate::schedule::RunStart;
 use crate::state::StateCommand;
+use crate::work::EngineSlot;
+use crate::work::JobTerms;
+use crate::work::RunEnd;
+use crate::work::RunKey;
+use crate::work::RunStart;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
 
--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -23,12 +23,14 @@
 use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite;
-use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
 use crate::frames::LinkFrame;
+use crate::parts::PART_BYTES;
+use crate::parts::feed_frame;
+use crate::parts::next_frame;
 use bergamotlane_wire::codec;
 use bergamotlane_wire::codec::WireError;
 
@@ -57,19 +59,6 @@
 /// Bytes written before a link's buffer is passed to the system.
 const WRITE_BUFFER_BYTES: usize = 16 * 1024;
 
-/// Largest frame; longer ones end the link.
-const MAX_FRAME_BYTES: usize = 64 * 1024 * 1024;
-
-/// Bytes of a frame that go into one message. A link's buffers grow with the largest message
-/// and never shrink.
-const PART_BYTES: usize = 32 * 1024;
-
-/// First byte of a message whose frame ends with it.
-const LAST_PART: u8 = 0;
-
-/// First byte of a message that more parts of the frame follow.
-const MORE_PARTS: u8 = 1;
-
 /// Frames written before the connection is flushed.
 const FLUSH_AFTER_FRAMES: usize = 64;
 
@@ -365,50 +354,3 @@
     stream.set_nodelay(true)?;
     socket2::SockRef::from(stream).set_tcp_user_timeout(Some(SILENCE_LIMIT))
 }
-
-/// Writes a frame in parts.
-async fn feed_frame<S>(sink: &mut S, frame: &[u8]) -> Result<(), tungstenite::Error>
-where
-    S: futures_util::Sink<Message, Error = tungstenite::Error> + Unpin,
-{
-    let mut parts = frame.chunks(PART_BYTES).peekable();
-    while let Some(part) = parts.next() {
-        let mark = match parts.peek() {
-            Some(_) => MORE_PARTS,
-            None => LAST_PART,
-        };
-        let mut message = Vec::with_capacity(1 + part.len());
-        message.push(mark);
-        message.extend_from_slice(part);
-        sink.feed(Message::Binary(Bytes::from(message))).await?;
-    }
-    Ok(())
-}
-
-async fn next_frame<S>(stream: &mut S) -> Result<LinkFrame, LinkError>
-where
-    S: futures_util::Stream<Item = Result<Message, tungstenite::Error>> + Unpin,
-{
-    let mut parts = Vec::new();
-    while let Some(message) = stream.next().await {
-        let bytes = match message? {
-            Message::Binary(bytes) => bytes,
-            Message::Close(_) => return Err(LinkError::Closed),
-            _ => continue,
-        };
-        let Some((mark, part)) = bytes.split_first() else {
-            return Err(LinkError::Unexpected);
-        };
-        if parts.is_empty() && *mark == LAST_PART {
-            return Ok(codec::decode(part)?);
-        }
-        if parts.len() + part.len() > MAX_FRAME_BYTES {
-            return Err(LinkError::Unexpected);
-        }
-        parts.extend_from_slice(part);
-        if *mark == LAST_PART {
-            return Ok(codec::decode(&parts)?);
-        }
-    }
-    Err(LinkError::Closed)
-}
--- a/crates/service/src/port.rs
+++ b/crates/service/src/port.rs
@@ -1,5 +1,6 @@
 //! Calls to the leader, wherever it is: repeated until they are answered or out of time.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use tokio::sync::mpsc;
@@ -9,6 +10,9 @@
 
 use crate::frames::LeaderCall;
 use crate::frames::LeaderReply;
+use crate::frames::LinkFrame;
+use crate::link::LinkHub;
+use crate::link::LinkId;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
 
@@ -47,6 +51,54 @@
     Unclear,
 }
 
+/// Calls that have been sent and wait for their answers.
+#[derive(Debug, Default)]
+pub struct PendingCalls {
+    next: u64,
+    waiting: HashMap<u64, (LinkId, oneshot::Sender<CallResult>)>,
+}
+
+impl PendingCalls {
+    /// Sends a call over a link to the leader, if one is known.
+    pub fn send(&mut self, hub: &LinkHub, link: Option<LinkId>, request: CallRequest) {
+        self.next += 1;
+        let id = self.next;
+        let call = request.call;
+        let sent = link.filter(|it| hub.send(*it, &LinkFrame::Call { id, call }));
+        match sent {
+            Some(link) => {
+                self.waiting.insert(id, (link, request.reply));
+            }
+            None => tell(request.reply, CallResult::NoLeader),
+        }
+    }
+
+    /// Passes an answer on.
+    pub fn answer(&mut self, id: u64, reply: LeaderReply) {
+        if let Some((_, sender)) = self.waiting.remove(&id) {
+            tell(sender, CallResult::Answered(reply));
+        }
+    }
+
+    /// Ends the calls that went over a link that is gone.
+    pub fn lose_link(&mut self, link: LinkId) {
+        let lost = self.waiting.extract_if(|_, (it, _)| *it == link);
+        for (_, (_, sender)) in lost {
+            tell(sender, CallResult::Broken);
+        }
+    }
+
+    /// Forgets calls whose callers have left.
+    pub fn prune(&mut self) {
+        self.waiting.retain(|_, (_, sender)| !sender.is_closed());
+    }
+}
+
+fn tell(sender: oneshot::Sender<CallResult>, result: CallResult) {
+    // The caller may have left.
+    sender.send(result).ok();
+}
+
 /// Handle for calls to the leader.
 #[derive(Debug, Clone)]
 pub struct LeaderPort {
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -26,8 +26,8 @@
 use crate::events::StreamEvent;
 use crate::pool::SendError;
 use crate::pool::TargetPool;
-use crate::schedule::PartialText;
-use crate::schedule::RunEnd;
+use crate::work::PartialText;
+use crate::work::RunEnd;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
 
--- a/crates/service/tests/schedule.rs
+++ b/crates/service/tests/schedule.rs
@@ -11,12 +11,12 @@
 
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_service::jobs::ItemEnd;
-use bergamotlane_service::schedule::EngineSlot;
-use bergamotlane_service::schedule::JobTerms;
-use bergamotlane_service::schedule::PartialText;
-use bergamotlane_service::schedule::RunEnd;
-use bergamotlane_service::schedule::RunStart;
 use bergamotlane_service::schedule::StepScheduler;
+use bergamotlane_service::work::EngineSlot;
+use bergamotlane_service::work::JobTerms;
+use bergamotlane_service::work::PartialText;
+use bergamotlane_service::work::RunEnd;
+use bergamotlane_service::work::RunStart;
 
 const START: ClockTime = ClockTime(50_000);
 
--- a/crates/service/tests/targets/run.rs
+++ b/crates/service/tests/targets/run.rs
@@ -15,8 +15,8 @@
 use bergamotlane_service::run::RunProgress;
 use bergamotlane_service::run::RunRequest;
 use bergamotlane_service::run::run_item;
-use bergamotlane_service::schedule::PartialText;
-use bergamotlane_service::schedule::RunEnd;
+use bergamotlane_service::work::PartialText;
+use bergamotlane_service::work::RunEnd;
 
 async fn run(manner: Manner, min_version: u64, partial: PartialText) -> RunEnd {
     let stand_in = StandIn::start(manner).await;
