--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod choice;
 pub mod dialect;
+mod engine_load;
 pub mod entry;
 pub mod events;
 pub mod forward;
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -12,6 +12,7 @@
 
 use bytes::Bytes;
 
+use crate::engine_load::EngineLoad;
 use crate::jobs::ItemEnd;
 use crate::jobs::ItemResult;
 use crate::work::EngineSlot;
@@ -22,28 +23,12 @@
 use crate::work::RunStart;
 use bergamotlane_coordination::clock::ClockTime;
 
-/// Pause after an engine refused work, in milliseconds.
-const REFUSAL_PAUSE_MS: u64 = 120;
-
-/// First pause after an engine failed, in milliseconds; it doubles with each failure.
-const FAILURE_PAUSE_MS: u64 = 300;
-
-/// Longest pause after failures, in milliseconds.
-const LONGEST_PAUSE_MS: u64 = 4_000;
-
 /// Pace against the median from which an engine counts as slow.
 const SLOW_FACTOR: f64 = 2.2;
 
 /// Time that a run gets before it may be moved, in milliseconds.
 const SETTLED_RUN_MS: u64 = 400;
 
-/// Weight of a new observation in an engine's pace.
-const PACE_WEIGHT: f64 = 0.3;
-
-/// Time between events that an engine is expected to need before it is known, in
-/// milliseconds.
-const DEFAULT_PACE_MS: f64 = 40.0;
-
 /// Extra running share that makes up for the lost shared prompt.
 const GROUP_BONUS: f64 = 1.0;
 
@@ -66,27 +51,6 @@
     stopping: bool,
 }
 
-#[derive(Debug)]
-struct EngineLoad {
-    running: u32,
-    pace_ms: f64,
-    held_until: ClockTime,
-    failures: u32,
-    starts: VecDeque<ClockTime>,
-}
-
-impl Default for EngineLoad {
-    fn default() -> Self {
-        Self {
-            running: 0,
-            pace_ms: DEFAULT_PACE_MS,
-            held_until: ClockTime::default(),
-            failures: 0,
-            starts: VecDeque::new(),
-        }
-    }
-}
-
 /// The scheduler.
 #[derive(Debug, Default)]
 pub struct StepScheduler {
@@ -274,18 +238,7 @@
                 continue;
             }
             let load = self.loads.entry(engine.id.clone()).or_default();
-            if load.running >= engine.capacity || now < load.held_until {
-                continue;
-            }
-            while load
-                .starts
-                .front()
-                .is_some_and(|it| now.since(*it) >= 1_000)
-            {
-                load.starts.pop_front();
-            }
-            let budget = engine.starts_per_s;
-            if budget.is_some_and(|it| load.starts.len() as u32 >= it) {
+            if !load.takes_more(now, engine) {
                 continue;
             }
             let share = f64::from(load.running + 1) / f64::from(engine.capacity.max(1));
@@ -315,7 +268,7 @@
             return;
         };
         if let Some(load) = self.loads.get_mut(&run.engine) {
-            load.pace_ms += (pace_ms - load.pace_ms) * PACE_WEIGHT;
+            load.observe(pace_ms);
         }
     }
 
@@ -367,7 +320,9 @@
         end: RunEnd,
     ) -> Option<(String, ItemResult)> {
         let run = self.remove_run(key)?;
-        self.note_engine(now, &run, &end);
+        if let Some(load) = self.loads.get_mut(&run.engine) {
+            load.note_end(now, &end, run.stopping);
+        }
         let queue = self.jobs.get_mut(&run.job)?;
         match end {
             RunEnd::Completed(partial) => {
@@ -405,30 +360,6 @@
         None
     }
 
-    fn note_engine(&mut self, now: ClockTime, run: &ActiveRun, end: &RunEnd) {
-        let Some(load) = self.loads.get_mut(&run.engine) else {
-            return;
-        };
-        match end {
-            RunEnd::Completed(_) | RunEnd::Rejected | RunEnd::Failed => load.failures = 0,
-            RunEnd::Refused | RunEnd::Misdirected => {
-                load.held_until = load.held_until.max(now + REFUSAL_PAUSE_MS);
-            }
-            RunEnd::Broken(_) if run.stopping => {}
-            RunEnd::Broken(partial) if !partial.events.is_empty() && load.failures == 0 => {
-                load.failures = 1;
-            }
-            RunEnd::Broken(_) | RunEnd::Unreachable => {
-                // Runs that were started before the pause began tell nothing new.
-                if now >= load.held_until {
-                    let pause = FAILURE_PAUSE_MS << load.failures.min(4);
-                    load.held_until = now + pause.min(LONGEST_PAUSE_MS);
-                    load.failures += 1;
-                }
-            }
-        }
-    }
-
     /// Puts an item whose text is whole already out of the queue.
     pub fn take_out(&mut self, job: &str, item: u32) {
         if let Some(queue) = self.jobs.get_mut(job) {
