--- a/crates/service/src/choice.rs
+++ b/crates/service/src/choice.rs
@@ -112,11 +112,6 @@
         self.evacuated = zones;
     }
 
-    /// Returns whether any target of the service may take work.
-    pub fn has_any(&self, service: &str) -> bool {
-        self.candidates(service).next().is_some()
-    }
-
     fn candidates(&self, service: &str) -> impl Iterator<Item = &TargetEntry> {
         let entries = self.registry.iter().map(|(_, entry)| entry);
         entries.filter(move |it| {
--- a/crates/service/src/plan.rs
+++ b/crates/service/src/plan.rs
@@ -265,11 +265,6 @@
         Some(&self.plan.routes[*place])
     }
 
-    /// Returns whether the host has any route.
-    pub fn has_host(&self, host: &str) -> bool {
-        self.by_host.contains_key(&host.to_ascii_lowercase())
-    }
-
     /// Returns the customer that holds a key.
     ///
     /// # Errors
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -306,12 +306,6 @@
         moved
     }
 
-    /// Returns the runs on engines that are no longer among those named.
-    pub fn runs_outside(&self, keep: impl Fn(&str) -> bool) -> Vec<RunKey> {
-        let outside = self.runs.iter().filter(|(_, run)| !keep(&run.engine));
-        outside.map(|(key, _)| *key).collect()
-    }
-
     /// Takes the end of a run; returns the result to list, if the item is done with.
     pub fn ended(
         &mut self,
@@ -359,13 +353,6 @@
         queue.waiting.push_front(run.item);
         None
     }
-
-    /// Puts an item whose text is whole already out of the queue.
-    pub fn take_out(&mut self, job: &str, item: u32) {
-        if let Some(queue) = self.jobs.get_mut(job) {
-            queue.waiting.retain(|it| *it != item);
-        }
-    }
 }
 
 fn given_up(item: u32) -> ItemResult {
