Let engines take turns at loading weights, and never under running items

At ten loads of 0.9 s at a time there are about 44 in the four seconds of a step, 48 engines and three models; yet every engine was kept up to date for one model and loaded each version, also under its runs, which then stood still for 0.9 s, although a version is good for two steps. Change (load_order.rs, no network): an engine loads once its weights are of no use to open jobs or the next one, the scarcest model first, on engines that serve the fewest models; usable ones only while idle; no more engines for a version than its even share, which is what is free of charge. Tests: engines_take_turns_so_that_each_model_has_more_than_its_share and no_load_holds_up_runs_of_an_only_model; with exclusive shares the first can't exceed 16.

--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -1,5 +1,6 @@
 //! Duties of one holder: usage reports and weight orders. The term is the fencing token.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -17,6 +18,7 @@
 use super::LeaseWatch;
 use super::core::CallOrigin;
 use super::core::KeeperCore;
+use super::lead::LeadState;
 use crate::dialect::OrderHolder;
 use crate::dialect::OutboundCall;
 use crate::dialect::TargetDialect;
@@ -110,6 +112,32 @@
     }
 }
 
+/// Returns the models of all ready engines.
+fn weight_targets(lead: &LeadState) -> Vec<WeightTarget> {
+    let busy = &lead.scheduler.busy_models();
+    let ready = lead
+        .registry
+        .iter()
+        .filter(|(_, entry)| entry.stage == TargetStage::Ready);
+    let models = ready.flat_map(|(id, entry)| {
+        let models = entry.notice.models.iter();
+        models.map(move |(model, version)| (id, entry.notice.born, model, *version))
+    });
+    models
+        .map(|(id, born, model, version)| {
+            let ordered = lead.loaded.get(id).filter(|(it, _, _)| it == model);
+            let ordered = ordered.map_or(0, |(_, version, _)| *version);
+            WeightTarget {
+                id: id.clone(),
+                born,
+                model: model.clone(),
+                version: ordered.max(version),
+                is_busy: busy.contains(&(id.as_str(), model.as_str())),
+            }
+        })
+        .collect()
+}
+
 impl<D: TargetDialect> KeeperCore<D> {
     fn holder(&self) -> Option<OrderHolder> {
         Some(OrderHolder {
@@ -190,26 +218,8 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let taken = &lead.loaded;
-        let targets: Vec<WeightTarget> = lead
-            .registry
-            .iter()
-            .filter(|(_, entry)| entry.stage == TargetStage::Ready)
-            .flat_map(|(id, entry)| {
-                let born = entry.notice.born;
-                entry.notice.models.iter().map(move |(model, version)| {
-                    let ordered = taken.get(id).filter(|(it, _, _)| it == model);
-                    let ordered = ordered.map_or(0, |(_, version, _)| *version);
-                    WeightTarget {
-                        id: id.clone(),
-                        born,
-                        model: model.clone(),
-                        version: ordered.max(*version),
-                    }
-                })
-            })
-            .collect();
-        let mut least = std::collections::BTreeMap::new();
+        let targets = weight_targets(lead);
+        let mut least = BTreeMap::new();
         for (_, terms) in lead.scheduler.jobs() {
             let oldest = least.entry(terms.model.clone()).or_insert(0);
             *oldest = terms.min_version.max(*oldest);
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -238,12 +238,13 @@
             self.repair_group(time);
             self.do_duties(time);
         }
+        self.expire_items(time);
+        self.assign_items(time);
+        // An engine that has just got runs is not idle.
         self.order_weights(time);
         self.push_views();
         self.answer_waiters(None);
         self.flush_results();
-        self.expire_items(time);
-        self.assign_items(time);
         self.look_at_paces(time);
         self.forget_jobs(time);
     }
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod jobs;
 pub mod keeper;
 pub mod link;
+pub mod load_order;
 pub mod logs;
 pub mod metrics;
 pub mod order;
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::collections::VecDeque;
 
 use bytes::Bytes;
@@ -119,6 +120,16 @@
         self.loads.get(engine).map_or(0, |it| it.running)
     }
 
+    /// Returns the engines that run items, each with the model of a run.
+    pub fn busy_models(&self) -> HashSet<(&str, &str)> {
+        let runs = self.runs.values();
+        runs.filter_map(|run| {
+            let queue = self.jobs.get(&run.job)?;
+            Some((run.engine.as_str(), queue.terms.model.as_str()))
+        })
+        .collect()
+    }
+
     /// Returns how many items wait for an engine.
     pub fn waiting(&self) -> usize {
         self.jobs.values().map(|it| it.waiting.len()).sum()
--- a/crates/service/src/weights.rs
+++ b/crates/service/src/weights.rs
@@ -3,14 +3,14 @@
 //! An engine accepts an order only at the count of orders that the order names, so one that is
 //! carried out late can't undo a newer one. Where the count is unknown, the engine is asked.
 //!
-//! Engines can load only so fast. Where they serve several models, each engine is kept up to
-//! date for one of them, so that the engines with fresh weights differ from model to model and
-//! all of them have work.
+//! Which engine loads next is decided in `load_order.rs`.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
 
+use crate::load_order::LoadTarget;
+use crate::load_order::ModelNeeds;
+use crate::load_order::next_load;
 use bergamotlane_coordination::clock::ClockTime;
 
 /// Time that a change of weights keeps an engine busy, in milliseconds.
@@ -42,6 +42,8 @@
     pub model: String,
     /// Version that it has.
     pub version: u64,
+    /// Whether runs of the model are on it, which a load would hold up.
+    pub is_busy: bool,
 }
 
 /// What an engine said to an order.
@@ -107,85 +109,21 @@
     held_until: ClockTime,
 }
 
+impl OrderState {
+    /// Returns whether the engine loads weights or is being asked.
+    fn is_occupied(&self, now: ClockTime) -> bool {
+        self.asked || now < self.loading_until
+    }
+}
+
 /// Plans the orders.
 #[derive(Debug, Default)]
 pub struct WeightPlanner {
     engines: HashMap<String, OrderState>,
-    homes: ModelHomes,
+    needs: ModelNeeds,
     fenced_until: ClockTime,
 }
 
-/// Which model each engine is kept up to date for.
-#[derive(Debug, Default)]
-struct ModelHomes {
-    models: BTreeMap<String, String>,
-}
-
-impl ModelHomes {
-    /// Shares the engines out anew: those that have a model keep it while the shares differ by
-    /// one at most.
-    fn update(&mut self, targets: &[WeightTarget], named: &BTreeMap<String, u64>) {
-        let models: BTreeSet<&str> = targets.iter().map(|it| it.model.as_str()).collect();
-        if models.len() < 2 {
-            self.models.clear();
-            return;
-        }
-        let mut lags: BTreeMap<&str, BTreeMap<&str, u64>> = BTreeMap::new();
-        for target in targets {
-            let newest = named.get(&target.model).copied().unwrap_or_default();
-            let lag = newest.saturating_sub(target.version);
-            let own = lags.entry(&target.id).or_default();
-            own.insert(&target.model, lag);
-        }
-        self.models.retain(|id, model| {
-            lags.get(id.as_str())
-                .is_some_and(|own| own.contains_key(model.as_str()))
-        });
-        let quota = lags.len().div_ceil(models.len());
-        for (id, own) in &lags {
-            if self.models.contains_key(*id) {
-                continue;
-            }
-            let rank = |model: &str| (self.count(model) >= quota, own[model], self.count(model));
-            if let Some(model) = own.keys().min_by_key(|it| rank(it)) {
-                self.models.insert((*id).to_owned(), (*model).to_owned());
-            }
-        }
-        self.balance(&models, &lags);
-    }
-
-    fn count(&self, model: &str) -> usize {
-        self.models.values().filter(|it| *it == model).count()
-    }
-
-    fn balance(&mut self, models: &BTreeSet<&str>, lags: &BTreeMap<&str, BTreeMap<&str, u64>>) {
-        for _ in 0..lags.len() {
-            let most = models.iter().max_by_key(|it| self.count(it));
-            let least = models.iter().min_by_key(|it| self.count(it));
-            let (Some(most), Some(least)) = (most, least) else {
-                return;
-            };
-            if self.count(most) <= self.count(least) + 1 {
-                return;
-            }
-            let candidates = self.models.iter().filter(|(_, model)| model == most);
-            let moved = candidates
-                .filter_map(|(id, _)| Some((lags.get(id.as_str())?.get(least)?, id)))
-                .min()
-                .map(|(_, id)| id.clone());
-            let Some(id) = moved else {
-                return;
-            };
-            self.models.insert(id, (*least).to_owned());
-        }
-    }
-
-    fn allows(&self, target: &WeightTarget) -> bool {
-        let home = self.models.get(&target.id);
-        home.is_none_or(|it| *it == target.model)
-    }
-}
-
 impl WeightPlanner {
     /// Returns the model that an engine is loading.
     pub fn loading(&self, now: ClockTime, id: &str) -> Option<&str> {
@@ -201,9 +139,35 @@
         named: &BTreeMap<String, u64>,
         least: &BTreeMap<String, u64>,
     ) -> Vec<WeightStep> {
+        self.needs.update(named, least);
         if now < self.fenced_until {
             return Vec::new();
         }
+        self.follow(targets);
+        let share = (self.engines.len() + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD;
+        let limit = LEAST_LOADS.max(share);
+        let states = self.engines.values();
+        let busy = states.filter(|it| it.is_occupied(now)).count();
+        let mut loads: Vec<LoadTarget<'_>> = targets
+            .iter()
+            .map(|it| self.load_target(now, it, named))
+            .collect();
+        let mut steps = Vec::new();
+        for _ in busy..limit {
+            let Some(place) = next_load(&loads, &self.needs, self.engines.len()) else {
+                break;
+            };
+            for load in loads.iter_mut().filter(|it| it.id == targets[place].id) {
+                load.can_load = false;
+            }
+            loads[place].is_loading = true;
+            steps.extend(self.step_for(&targets[place], named));
+        }
+        steps
+    }
+
+    /// Forgets engines that are gone, and what was known of an earlier start.
+    fn follow(&mut self, targets: &[WeightTarget]) {
         self.engines
             .retain(|id, _| targets.iter().any(|it| it.id == *id));
         for target in targets {
@@ -215,54 +179,48 @@
                 };
             }
         }
-        self.homes.update(targets, named);
-        let share = (self.engines.len() + ENGINES_PER_LOAD / 2) / ENGINES_PER_LOAD;
-        let limit = LEAST_LOADS.max(share);
-        let states = self.engines.values();
-        let busy = states
-            .filter(|it| it.asked || now < it.loading_until)
-            .count();
-        let mut room = limit.saturating_sub(busy);
-        let mut behind: Vec<&WeightTarget> = targets
-            .iter()
-            .filter(|it| self.homes.allows(it))
-            .filter(|it| {
-                named
-                    .get(&it.model)
-                    .is_some_and(|newest| it.version < *newest)
-            })
-            .collect();
-        let is_usable = |it: &WeightTarget| least.get(&it.model).is_none_or(|v| it.version >= *v);
-        behind.sort_by_key(|it| (is_usable(it), it.version));
-        let mut steps = Vec::new();
-        for target in behind {
-            if room == 0 {
-                break;
-            }
-            let Some(state) = self.engines.get_mut(&target.id) else {
-                continue;
-            };
-            if state.asked || now < state.loading_until || now < state.held_until {
-                continue;
-            }
-            state.asked = true;
-            target.model.clone_into(&mut state.loading_model);
-            room -= 1;
-            steps.push(match state.accepted {
-                Some(expect) => WeightStep::Order {
-                    id: target.id.clone(),
-                    born: target.born,
-                    model: target.model.clone(),
-                    version: named[&target.model],
-                    expect,
-                },
-                None => WeightStep::Inspect {
-                    id: target.id.clone(),
-                    born: target.born,
-                },
-            });
+    }
+
+    fn load_target<'a>(
+        &self,
+        now: ClockTime,
+        target: &'a WeightTarget,
+        named: &BTreeMap<String, u64>,
+    ) -> LoadTarget<'a> {
+        let state = self.engines.get(&target.id);
+        let occupied = state.is_some_and(|it| it.is_occupied(now));
+        let held = state.is_some_and(|it| now < it.held_until);
+        let newest = named.get(&target.model).copied().unwrap_or_default();
+        LoadTarget {
+            id: &target.id,
+            model: &target.model,
+            version: target.version,
+            newest: newest.max(target.version),
+            is_busy: target.is_busy,
+            is_loading: occupied && state.is_some_and(|it| it.loading_model == target.model),
+            can_load: !occupied && !held,
         }
-        steps
+    }
+
+    fn step_for(
+        &mut self,
+        target: &WeightTarget,
+        named: &BTreeMap<String, u64>,
+    ) -> Option<WeightStep> {
+        let state = self.engines.get_mut(&target.id)?;
+        state.asked = true;
+        target.model.clone_into(&mut state.loading_model);
+        let (id, born) = (target.id.clone(), target.born);
+        Some(match state.accepted {
+            Some(expect) => WeightStep::Order {
+                id,
+                born,
+                model: target.model.clone(),
+                version: *named.get(&target.model)?,
+                expect,
+            },
+            None => WeightStep::Inspect { id, born },
+        })
     }
 
     fn state(&mut self, id: &str, born: u64) -> Option<&mut OrderState> {
--- a/crates/service/tests/weights.rs
+++ b/crates/service/tests/weights.rs
@@ -21,6 +21,7 @@
         born: 1,
         model: model.to_owned(),
         version,
+        is_busy: false,
     }
 }
 
@@ -263,3 +264,97 @@
     assert_eq!((second["a"].len(), second["b"].len()), (3, 3));
     assert!(second["a"].is_disjoint(&second["b"]));
 }
+
+const STEP_MS: u64 = 4_000;
+const TICK_MS: u64 = 20;
+
+/// What became of engines whose trainers name a version every four seconds, each time right
+/// before a job that allows the one before too.
+#[derive(Debug, Default)]
+struct RefreshRun {
+    usable_after_two_seconds: Vec<usize>,
+    busy_loads: usize,
+    loads: BTreeMap<(String, u64), usize>,
+}
+
+/// Jobs keep all usable engines busy for two seconds and are ended after three.
+fn refresh(models: &[&str], engines: u32) -> RefreshRun {
+    let mut targets: Vec<WeightTarget> = (0..engines)
+        .flat_map(|id| models.iter().map(move |model| target(id, model, 1)))
+        .collect();
+    let mut planner = informed(&targets, &BTreeMap::new());
+    let mut loading: Vec<(String, String, u64, ClockTime)> = Vec::new();
+    let mut run = RefreshRun::default();
+    for tick in 0..12 * STEP_MS / TICK_MS {
+        let now = START + tick * TICK_MS;
+        let (step, phase) = (tick * TICK_MS / STEP_MS, tick * TICK_MS % STEP_MS);
+        let all = |version: u64| -> BTreeMap<String, u64> {
+            let pairs = models.iter().map(|it| ((*it).to_owned(), version));
+            pairs.collect()
+        };
+        let oldest = step.max(1);
+        let is_open = (100..3_000).contains(&phase);
+        let least = match is_open {
+            true => all(oldest),
+            false => BTreeMap::new(),
+        };
+        for (id, model, version, _) in loading.extract_if(.., |it| now >= it.3) {
+            let mut own = targets
+                .iter_mut()
+                .filter(|it| it.id == id && it.model == model);
+            own.next().unwrap().version = version;
+        }
+        for target in &mut targets {
+            target.is_busy = is_open && phase < 2_000 && target.version >= oldest;
+        }
+        for action in planner.next_steps(now, &targets, &all(step + 1), &least) {
+            match action {
+                WeightStep::Inspect { id, born } => {
+                    planner.inspected(now, &id, born, Some(&report(0, false)));
+                }
+                WeightStep::Order {
+                    id,
+                    born,
+                    model,
+                    version,
+                    ..
+                } => {
+                    planner.ordered(now, &id, born, OrderAnswer::Taken);
+                    let mut own = targets.iter().filter(|it| it.id == id && it.model == model);
+                    run.busy_loads += usize::from(own.next().unwrap().is_busy);
+                    *run.loads.entry((model.clone(), version)).or_default() += 1;
+                    loading.push((id, model, version, now + LOAD_MS));
+                }
+            }
+        }
+        let usable = |model: &&str| {
+            let own = targets.iter().filter(|it| it.model == *model);
+            own.filter(|it| it.version >= oldest).count()
+        };
+        // The first versions find all engines alike.
+        if step >= 4 && phase == 2_100 {
+            run.usable_after_two_seconds
+                .extend(models.iter().map(usable));
+        }
+    }
+    run
+}
+
+#[test]
+fn engines_take_turns_so_that_each_model_has_more_than_its_share() {
+    let run = refresh(&["a", "b", "c"], 48);
+    assert_eq!(run.busy_loads, 0);
+    // A third of the engines is 16: all that a model has if it shares none of them.
+    let usable = &run.usable_after_two_seconds;
+    assert!(usable.iter().all(|it| *it > 16), "{run:?}");
+    assert!(run.loads.values().all(|it| *it <= 16), "{run:?}");
+}
+
+#[test]
+fn no_load_holds_up_runs_of_an_only_model() {
+    let run = refresh(&["a"], 11);
+    assert_eq!(run.busy_loads, 0);
+    let usable = &run.usable_after_two_seconds;
+    assert!(usable.iter().all(|it| *it >= 10), "{run:?}");
+    assert!(run.loads.values().all(|it| *it <= 11), "{run:?}");
+}
