Keep texts of unfinished items over a loss of the leader and the end of a job

Cause: texts so far were the leader's memory alone. After each loss of a leader all running items began anew, long ones by up to six seconds, and so did the items that a later job carries over, which a trainer waits for in any case. Ruled out: the election (0.75 s) and the placing of items (1.5 s). Change: the leader tells the other voters every 0.8 s what runs older than that have added; texts stay until their item is listed or 20 s have passed. Whoever leads next, and the job that carries an item over, go on from them where every version is allowed. The results of other jobs are searched for carried-over items alone. Log lines: a job's end, and the engine of a run that ended.

--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -248,6 +248,7 @@
             LinkFrame::Hello(_)
             | LinkFrame::Consensus(_)
             | LinkFrame::Call { .. }
+            | LinkFrame::Texts(_)
             | LinkFrame::Usage { .. } => {}
         }
     }
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -12,6 +12,7 @@
 use crate::registry::TargetNotice;
 use crate::registry::TargetView;
 use crate::state::StateCommand;
+use crate::texts::TextShare;
 use crate::usage::UsageSums;
 use bergamotlane_wire::ConsensusMessageWire;
 
@@ -185,4 +186,6 @@
         /// Sums so far.
         sums: UsageSums,
     },
+    /// What runs have added to their texts, from the leader to the other voters.
+    Texts(Vec<TextShare>),
 }
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -30,6 +30,7 @@
 use crate::port::PendingCalls;
 use crate::registry::TargetView;
 use crate::state::ServiceState;
+use crate::texts::TextStore;
 use crate::usage::UsageTally;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::consensus::ConsensusConfig;
@@ -103,6 +104,8 @@
     pub(super) last_targets: Vec<TargetView>,
     pub(super) targets_due: Option<ClockTime>,
     pub(super) tally: UsageTally,
+    pub(super) texts: TextStore,
+    pub(super) texts_due: ClockTime,
 }
 
 fn open_voter(folder: DataFolder, content: FolderContent, time: ClockTime) -> DiskVoter {
@@ -154,6 +157,8 @@
             last_targets,
             targets_due: None,
             tally: UsageTally::default(),
+            texts: TextStore::default(),
+            texts_due: time,
         };
         core.restore_from_disk();
         core.dial();
@@ -240,6 +245,7 @@
                 }
             }
             LinkFrame::Usage { process, sums } => self.tally.merge(process, sums),
+            LinkFrame::Texts(shares) => self.take_texts(shares),
             LinkFrame::Hello(_) => {}
         }
     }
@@ -319,6 +325,7 @@
         self.carry_out();
         self.lead_tick();
         self.carry_out();
+        self.tend_texts(time);
         self.save_targets(time);
         self.calls.prune();
     }
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -21,6 +21,7 @@
 use crate::run::RunProgress;
 use crate::schedule::StepScheduler;
 use crate::state::StateCommand;
+use crate::texts::TextKey;
 use crate::weights::WeightPlanner;
 use crate::work::RunKey;
 use bergamotlane_coordination::clock::ClockTime;
@@ -35,6 +36,9 @@
 /// Time between two looks at repair and duties, in milliseconds.
 const DUTY_INTERVAL_MS: u64 = 100;
 
+/// Time between two looks at the engines' weights, in milliseconds.
+const WEIGHTS_INTERVAL_MS: u64 = 20;
+
 /// Time between two looks at the pace of runs, in milliseconds.
 const PACE_INTERVAL_MS: u64 = 200;
 
@@ -58,6 +62,10 @@
 pub(super) struct RunHandle {
     pub(super) job: String,
     pub(super) item: u32,
+    pub(super) key: TextKey,
+    pub(super) target: String,
+    /// Events of the text that other keepers were told.
+    pub(super) told: u32,
     pub(super) stop: Option<oneshot::Sender<()>>,
     pub(super) progress: Arc<RunProgress>,
     pub(super) started: ClockTime,
@@ -80,6 +88,7 @@
     pub(super) report_after: ClockTime,
     pub(super) loaded: BTreeMap<String, (String, u64, ClockTime)>,
     duty_at: ClockTime,
+    weights_at: ClockTime,
     pace_at: ClockTime,
     forget_at: ClockTime,
 }
@@ -122,6 +131,7 @@
             report_after: time,
             loaded: BTreeMap::new(),
             duty_at: time,
+            weights_at: time,
             pace_at: time,
             forget_at: time,
         });
@@ -130,6 +140,7 @@
     pub(super) fn end_lead(&mut self) {
         self.lease.set(ClockTime::default());
         METRICS.lead_term.set(0);
+        self.keep_texts(None);
         let Some(lead) = self.lead.take() else {
             return;
         };
@@ -208,6 +219,7 @@
                 }
             }
             ChangeEffect::JobEnded(job) => {
+                self.log_ended(&job);
                 self.stop_job(&job);
                 self.answer_waiters(Some(&job));
             }
@@ -240,8 +252,7 @@
         }
         self.expire_items(time);
         self.assign_items(time);
-        // An engine that has just got runs is not idle.
-        self.order_weights(time);
+        self.tend_weights(time);
         self.push_views();
         self.answer_waiters(None);
         self.flush_results();
@@ -249,8 +260,20 @@
         self.forget_jobs(time);
     }
 
+    /// Orders weights; an engine that has just got runs is not idle, so items come first.
+    fn tend_weights(&mut self, time: ClockTime) {
+        let Some(lead) = self.lead.as_mut().filter(|it| time >= it.weights_at) else {
+            return;
+        };
+        lead.weights_at = time + WEIGHTS_INTERVAL_MS;
+        self.order_weights(time);
+    }
+
     /// Stops the runs of a leader whose lease has lapsed.
     fn rest(&mut self, time: ClockTime) {
+        if self.lead.as_ref().is_some_and(|it| it.active) {
+            self.keep_texts(None);
+        }
         let lapsed = self.lead.as_mut().filter(|it| it.active);
         let Some(lead) = lapsed else {
             return;
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -12,6 +12,7 @@
 mod peers;
 mod repair;
 mod targets;
+mod texts;
 mod view;
 mod work;
 
--- a/crates/service/src/keeper/outputs.rs
+++ b/crates/service/src/keeper/outputs.rs
@@ -6,6 +6,7 @@
 use crate::dialect::TargetDialect;
 use crate::frames::LeaderReply;
 use crate::frames::LinkFrame;
+use crate::link::LinkId;
 use crate::metrics::METRICS;
 use crate::payload::decode_command;
 use crate::payload::encode_command;
@@ -96,14 +97,19 @@
     }
 
     fn send_consensus(&self, to: NodeId, message: &ConsensusMessage) {
-        let mut links = self.links.iter().rev();
-        let link = links.find(|(_, (hello, _))| hello.node == Some(to.0));
-        if let Some((link, _)) = link {
+        if let Some(link) = self.link_of(to) {
             let wire = ConsensusMessageWire::from(message);
-            self.hub.send(*link, &LinkFrame::Consensus(wire));
+            self.hub.send(link, &LinkFrame::Consensus(wire));
         }
     }
 
+    /// Returns the latest link to a node.
+    pub(super) fn link_of(&self, node: NodeId) -> Option<LinkId> {
+        let mut links = self.links.iter().rev();
+        let link = links.find(|(_, (hello, _))| hello.node == Some(node.0));
+        link.map(|(link, _)| *link)
+    }
+
     fn on_role(&mut self, role: NodeRole, term: u64) {
         METRICS.role_changes.inc();
         spdlog::info!("consensus: role", kv: { role = format!("{role:?}"), term });
@@ -144,6 +150,9 @@
                 self.seen_at.remove(job);
             }
         }
+        if let StateCommand::List(results) = &command {
+            self.drop_texts(results);
+        }
         let effect = self.effect_of(&command);
         self.state.apply(index, command);
         self.take_effect(effect);
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -13,6 +13,7 @@
 use super::core::KeeperCore;
 use super::lead::LeadState;
 use super::lead::RunHandle;
+use super::texts::run_number;
 use crate::dialect::TargetDialect;
 use crate::metrics::METRICS;
 use crate::order::ItemRank;
@@ -24,6 +25,7 @@
 use crate::run::RunRequest;
 use crate::run::run_item;
 use crate::state::StateCommand;
+use crate::texts::TextKey;
 use crate::work::EngineSlot;
 use crate::work::JobTerms;
 use crate::work::RunEnd;
@@ -85,8 +87,9 @@
             if !record.is_open(place) {
                 continue;
             }
+            let is_carried = known.contains(item.id.as_str());
             // A carried-over item whose text is whole need not run again.
-            let kept = (!terms.single_version)
+            let kept = (is_carried && !terms.single_version)
                 .then(|| {
                     self.state
                         .jobs
@@ -101,7 +104,7 @@
                 }
                 None => open.push(ItemRank {
                     item: place,
-                    is_carried: known.contains(item.id.as_str()),
+                    is_carried,
                     expected_tokens: item.expected_tokens.unwrap_or_default(),
                 }),
             }
@@ -113,7 +116,18 @@
             service = terms.service.as_str(),
             min_version = terms.min_version,
         });
+        let min_version = terms.min_version;
+        let places: Vec<u32> = open.iter().map(|it| it.item).collect();
         lead.scheduler.admit(job, terms, groups, open);
+        for place in places {
+            let key = TextKey {
+                customer: submission.customer.clone(),
+                item: submission.items[place as usize].id.clone(),
+            };
+            if let Some(text) = self.texts.get(&key, min_version) {
+                lead.scheduler.resume(job, place, text.clone());
+            }
+        }
     }
 
     /// Sends open jobs where the plan in force wants them.
@@ -132,6 +146,8 @@
     }
 
     pub(super) fn stop_job(&mut self, job: &str) {
+        // A later job may carry its items over.
+        self.keep_texts(Some(job));
         let Some(lead) = &mut self.lead else {
             return;
         };
@@ -214,6 +230,21 @@
         }
     }
 
+    /// Notes how far a job was when its caller ended it.
+    pub(super) fn log_ended(&self, job: &str) {
+        let (Some(record), Some(lead)) = (self.state.jobs.get(job), &self.lead) else {
+            return;
+        };
+        let age = self.seen_at.get(job).map_or(0, |it| now().since(*it));
+        spdlog::info!("job: ended by its caller", kv: {
+            job,
+            after_ms = age,
+            items = record.listed.len(),
+            listed = record.results.len(),
+            waiting = lead.scheduler.waiting_of(job),
+        });
+    }
+
     fn start_run(&mut self, time: ClockTime, start: RunStart) {
         let (Some(lead), Some(record)) = (&mut self.lead, self.state.jobs.get(&start.job)) else {
             return;
@@ -234,13 +265,19 @@
             customer: submission.customer.clone(),
             version: start.version,
             min_version: submission.min_version,
-            partial: start.partial,
+        };
+        let key = TextKey {
+            customer: submission.customer.clone(),
+            item: item.id.clone(),
         };
         let (stop, stopped) = oneshot::channel();
-        let progress = Arc::new(RunProgress::default());
+        let progress = Arc::new(RunProgress::new(start.partial));
         let handle = RunHandle {
             job: start.job,
             item: start.item,
+            key,
+            target: request.target.clone(),
+            told: 0,
             stop: Some(stop),
             progress: Arc::clone(&progress),
             started: time,
@@ -269,10 +306,15 @@
             spdlog::info!("item: run ended", kv: {
                 job = handle.job.as_str(),
                 item = handle.item,
+                target = handle.target.as_str(),
                 outcome = end_name(&end),
                 took_ms = time.since(handle.started),
             });
         }
+        if let RunEnd::Broken(text) = &end {
+            let id = run_number(lead.term, run);
+            self.texts.keep(time, handle.key, id, text.clone());
+        }
         if let Some((job, result)) = lead.scheduler.ended(time, run, end) {
             lead.results.push((job, result));
         }
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod run;
 pub mod schedule;
 pub mod state;
+pub mod texts;
 pub mod usage;
 pub mod weights;
 pub mod work;
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -2,6 +2,9 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -57,19 +60,31 @@
     pub version: u64,
     /// Oldest weight version that may generate an event.
     pub min_version: u64,
-    /// Text to go on from.
-    pub partial: PartialText,
 }
 
-/// How fast a run gets its events, for others to look at.
+/// How far a run is and how fast it gets its events, for others to look at.
 #[derive(Debug, Default)]
 pub struct RunProgress {
+    text: Mutex<PartialText>,
     events: AtomicU32,
     last_at: AtomicU64,
     gaps_ms: [AtomicU64; 3],
 }
 
 impl RunProgress {
+    /// Makes the progress of a run that goes on from a text.
+    pub fn new(text: PartialText) -> Self {
+        Self {
+            text: Mutex::new(text),
+            ..Self::default()
+        }
+    }
+
+    /// Returns the text so far.
+    pub fn text(&self) -> MutexGuard<'_, PartialText> {
+        self.text.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Notes that an event came.
     pub fn saw_event(&self, now: ClockTime) {
         let place = self.events.fetch_add(1, Ordering::Relaxed);
@@ -97,21 +112,17 @@
 pub async fn run_item<D: TargetDialect>(
     pool: Arc<TargetPool>,
     dialect: D,
-    mut request: RunRequest,
+    request: RunRequest,
     progress: Arc<RunProgress>,
     stop: oneshot::Receiver<()>,
 ) -> RunEnd {
-    let mut partial = std::mem::take(&mut request.partial);
-    let end = {
-        let stream = stream_item(&pool, &dialect, &request, &mut partial, &progress);
-        tokio::select! {
-            end = stream => Some(end),
-            _ = stop => None,
-        }
+    let end = tokio::select! {
+        end = stream_item(&pool, &dialect, &request, &progress) => Some(end),
+        _ = stop => None,
     };
     match end {
-        Some(StreamEnd::Whole) => RunEnd::Completed(partial),
-        Some(StreamEnd::Broken) | None => RunEnd::Broken(partial),
+        Some(StreamEnd::Whole) => RunEnd::Completed(progress.text().clone()),
+        Some(StreamEnd::Broken) | None => RunEnd::Broken(progress.text().clone()),
         Some(StreamEnd::Other(end)) => end,
     }
 }
@@ -126,10 +137,10 @@
     pool: &Arc<TargetPool>,
     dialect: &D,
     request: &RunRequest,
-    partial: &mut PartialText,
     progress: &RunProgress,
 ) -> StreamEnd {
-    let Some(message) = build(dialect, request, partial) else {
+    let last_event = progress.text().last_id;
+    let Some(message) = build(dialect, request, last_event) else {
         return StreamEnd::Other(RunEnd::Rejected);
     };
     let sent = pool.send(request.address, message, true);
@@ -158,7 +169,7 @@
     if !marks.is_stamped || version < request.min_version {
         return StreamEnd::Broken;
     }
-    let read = read_stream(dialect, response.into_body(), version, partial, progress);
+    let read = read_stream(dialect, response.into_body(), version, progress);
     match read.await {
         true => {
             lease.keep();
@@ -181,7 +192,7 @@
 fn build<D: TargetDialect>(
     dialect: &D,
     request: &RunRequest,
-    partial: &PartialText,
+    last_event: Option<u64>,
 ) -> Option<Request<Full<Bytes>>> {
     let mut headers = HeaderMap::new();
     headers.insert(HOST, HeaderValue::from_str(&request.host).ok()?);
@@ -195,7 +206,7 @@
         time_left_ms: None,
         customer: request.customer.as_deref(),
         version: Some(request.version),
-        last_event: partial.last_id,
+        last_event,
     };
     dialect.mark(&mut headers, &marks);
     let mut message = Request::post(&request.path)
@@ -210,7 +221,6 @@
     dialect: &D,
     mut body: Incoming,
     mut version: u64,
-    partial: &mut PartialText,
     progress: &RunProgress,
 ) -> bool {
     let mut reader = EventReader::default();
@@ -230,7 +240,7 @@
             if let Some(changed) = version_of(dialect, &event) {
                 version = changed;
             }
-            if !take_event(event, version, partial) {
+            if !take_event(event, version, &mut progress.text()) {
                 return false;
             }
             progress.saw_event(now());
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -95,6 +95,13 @@
         self.jobs.entry(id.to_owned()).or_insert(queue);
     }
 
+    /// Lets the next run of an item go on from a text, if the engine that it gets allows that.
+    pub fn resume(&mut self, job: &str, item: u32, text: PartialText) {
+        if let Some(queue) = self.jobs.get_mut(job) {
+            queue.partials.insert(item, text);
+        }
+    }
+
     /// Returns whether a job is known.
     pub fn contains(&self, job: &str) -> bool {
         self.jobs.contains_key(job)
--- a/crates/service/tests/targets/run.rs
+++ b/crates/service/tests/targets/run.rs
@@ -31,10 +31,9 @@
         customer: None,
         version: 1,
         min_version,
-        partial,
     };
     let (_keep, stop) = oneshot::channel();
-    let progress = Arc::new(RunProgress::default());
+    let progress = Arc::new(RunProgress::new(partial));
     run_item(TargetPool::new(), TestDialect, request, progress, stop).await
 }
 
