Move the admission of jobs out of the runs' module

Cause: admit_job had grown to sixty lines in a file of 370. No other change of behaviour; the tests of service and platform pass.

--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -3,6 +3,7 @@
 //! All control state is owned by one thread. Connections, runs and orders live on the runtime
 //! of the process and reach that thread by messages.
 
+mod admit;
 mod calls;
 mod core;
 mod duties;
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -2,8 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::collections::HashMap;
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use tokio::sync::oneshot;
@@ -16,8 +14,6 @@
 use super::texts::run_number;
 use crate::dialect::TargetDialect;
 use crate::metrics::METRICS;
-use crate::order::ItemRank;
-use crate::plan::RouteIndex;
 use crate::plan::RouteKind;
 use crate::registry::TargetNotice;
 use crate::registry::TargetStage;
@@ -27,7 +23,6 @@
 use crate::state::StateCommand;
 use crate::texts::TextKey;
 use crate::work::EngineSlot;
-use crate::work::JobTerms;
 use crate::work::RunEnd;
 use crate::work::RunKey;
 use crate::work::RunStart;
@@ -41,95 +36,6 @@
 const RESULTS_BATCH: usize = 64;
 
 impl<D: TargetDialect> KeeperCore<D> {
-    fn terms_of(&self, job: &str) -> Option<JobTerms> {
-        let record = self.state.jobs.get(job)?;
-        let plan = &self.state.plan.as_ref()?.plan;
-        let submission = &record.submission;
-        let index = RouteIndex::new(plan.clone());
-        let route = index.route(&submission.host, &submission.path)?;
-        let digest = blake3::hash(submission.id.as_bytes());
-        let point = f64::from(digest.as_bytes()[0]) / 256.0;
-        let seen = self.seen_at.get(job).copied().unwrap_or_else(now);
-        Some(JobTerms {
-            due: seen + route.result_deadline_ms,
-            expires: seen + route.item_ttl_ms,
-            service: route.service_at(point).unwrap_or_default().to_owned(),
-            model: submission.model.clone(),
-            min_version: submission.min_version,
-            single_version: route.single_version,
-            max_attempts: route.max_attempts.max(1),
-        })
-    }
-
-    pub(super) fn admit_job(&mut self, job: &str) {
-        let Some(terms) = self.terms_of(job) else {
-            spdlog::warn!("job: no route", kv: { job });
-            return;
-        };
-        let (Some(record), Some(lead)) = (self.state.jobs.get(job), &mut self.lead) else {
-            return;
-        };
-        if record.is_settled() || lead.scheduler.contains(job) {
-            return;
-        }
-        let submission = &record.submission;
-        let mut numbers: HashMap<&str, u32> = HashMap::new();
-        let mut groups = Vec::with_capacity(submission.items.len());
-        for item in &submission.items {
-            let next = numbers.len() as u32;
-            groups.push(*numbers.entry(item.group.as_str()).or_insert(next));
-        }
-        let customer = submission.customer.as_deref();
-        let known: HashSet<&str> = self.state.jobs.items_of_others(customer, job).collect();
-        let mut open = Vec::new();
-        for (place, item) in submission.items.iter().enumerate() {
-            let place = place as u32;
-            if !record.is_open(place) {
-                continue;
-            }
-            let is_carried = known.contains(item.id.as_str());
-            // A carried-over item whose text is whole need not run again.
-            let kept = (is_carried && !terms.single_version)
-                .then(|| {
-                    self.state
-                        .jobs
-                        .finished(customer, &item.id, terms.min_version)
-                })
-                .flatten();
-            match kept {
-                Some(result) => {
-                    let mut result = result.clone();
-                    result.item = place;
-                    lead.results.push((job.to_owned(), result));
-                }
-                None => open.push(ItemRank {
-                    item: place,
-                    is_carried,
-                    expected_tokens: item.expected_tokens.unwrap_or_default(),
-                }),
-            }
-        }
-        spdlog::info!("job: admitted", kv: {
-            job,
-            items = submission.items.len(),
-            open = open.len(),
-            service = terms.service.as_str(),
-            min_version = terms.min_version,
-        });
-        let min_version = terms.min_version;
-        let places: Vec<u32> = open.iter().map(|it| it.item).collect();
-        lead.scheduler.admit(job, terms, groups, open);
-        for place in places {
-            let key = TextKey {
-                customer: submission.customer.clone(),
-                item: submission.items[place as usize].id.clone(),
-            };
-            if let Some(text) = self.texts.get(&key, min_version) {
-                lead.scheduler.resume(job, place, text.clone());
-            }
-        }
-    }
-
     /// Sends open jobs where the plan in force wants them.
     pub(super) fn route_jobs(&mut self) {
         let Some(lead) = &self.lead else {
