--- a/crates/service/tests/weights.rs
+++ b/crates/service/tests/weights.rs
@@ -25,6 +25,11 @@
     }
 }
 
+fn own_target<'a>(targets: &'a mut [WeightTarget], id: &str, model: &str) -> &'a mut WeightTarget {
+    let mut own = targets.iter_mut();
+    own.find(|it| it.id == id && it.model == model).unwrap()
+}
+
 fn named(versions: &[(&str, u64)]) -> BTreeMap<String, u64> {
     versions
         .iter()
@@ -173,10 +178,7 @@
             if now < *done {
                 return true;
             }
-            let own = targets
-                .iter_mut()
-                .find(|it| it.id == *id && it.model == *model);
-            own.unwrap().version = *version;
+            own_target(&mut targets, id, model).version = *version;
             false
         });
         for action in planner.next_steps(now, &targets, &newest, &BTreeMap::new()) {
@@ -272,6 +274,8 @@
 /// before a job that allows the one before too.
 #[derive(Debug, Default)]
 struct RefreshRun {
+    usable_at_start: Vec<usize>,
+    usable_after_a_second: Vec<usize>,
     usable_after_two_seconds: Vec<usize>,
     busy_loads: usize,
     loads: BTreeMap<(String, u64), usize>,
@@ -299,10 +303,7 @@
             false => BTreeMap::new(),
         };
         for (id, model, version, _) in loading.extract_if(.., |it| now >= it.3) {
-            let mut own = targets
-                .iter_mut()
-                .filter(|it| it.id == id && it.model == model);
-            own.next().unwrap().version = version;
+            own_target(&mut targets, &id, &model).version = version;
         }
         for target in &mut targets {
             target.is_busy = is_open && phase < 2_000 && target.version >= oldest;
@@ -320,8 +321,8 @@
                     ..
                 } => {
                     planner.ordered(now, &id, born, OrderAnswer::Taken);
-                    let mut own = targets.iter().filter(|it| it.id == id && it.model == model);
-                    run.busy_loads += usize::from(own.next().unwrap().is_busy);
+                    let own = own_target(&mut targets, &id, &model);
+                    run.busy_loads += usize::from(own.is_busy);
                     *run.loads.entry((model.clone(), version)).or_default() += 1;
                     loading.push((id, model, version, now + LOAD_MS));
                 }
@@ -331,10 +332,15 @@
             let own = targets.iter().filter(|it| it.model == *model);
             own.filter(|it| it.version >= oldest).count()
         };
+        let counts = match phase {
+            100 => &mut run.usable_at_start,
+            1_100 => &mut run.usable_after_a_second,
+            2_100 => &mut run.usable_after_two_seconds,
+            _ => continue,
+        };
         // The first versions find all engines alike.
-        if step >= 4 && phase == 2_100 {
-            run.usable_after_two_seconds
-                .extend(models.iter().map(usable));
+        if step >= 4 {
+            counts.extend(models.iter().map(usable));
         }
     }
     run
@@ -358,3 +364,23 @@
     assert!(usable.iter().all(|it| *it >= 10), "{run:?}");
     assert!(run.loads.values().all(|it| *it <= 11), "{run:?}");
 }
+
+#[rstest]
+#[case::three_models(&["a", "b", "c"], 48, 16)]
+#[case::an_only_model(&["a"], 11, 8)]
+fn enough_engines_are_usable_when_a_step_starts(
+    #[case] models: &[&str],
+    #[case] engines: u32,
+    #[case] expected: usize,
+) {
+    let run = refresh(models, engines);
+    let usable = &run.usable_at_start;
+    assert!(usable.iter().all(|it| *it >= expected), "{run:?}");
+}
+
+#[test]
+fn a_second_into_a_step_each_model_has_a_fifth_more_than_its_share() {
+    let run = refresh(&["a", "b", "c"], 48);
+    let usable = &run.usable_after_a_second;
+    assert!(usable.iter().sum::<usize>() >= usable.len() * 19, "{run:?}");
+}
