--- a/crates/service/src/choice.rs
+++ b/crates/service/src/choice.rs
@@ -2,8 +2,10 @@
 //!
 //! A request goes to the target with the least expected wait (outstanding requests weighted by
 //! observed latency). Targets in the same zone are preferred, and failing targets are ejected
-//! for a while (passive outlier ejection).
+//! for a while (passive outlier ejection). Among equal targets, each instance has its own order
+//! (rendezvous hashing), since otherwise all instances with little traffic would share one target.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
 use crate::registry::TargetEntry;
@@ -84,22 +86,33 @@
     /// Shortest interval between two requests from this instance to the same cold target, in
     /// milliseconds; `None` excludes cold targets.
     pub cold_pause_ms: Option<u64>,
+    /// Number of slots of each target that this request leaves free, or `None` if the target's own
+    /// queue limits the requests.
+    pub reserved_slots: Option<u32>,
+}
+
+/// Returns the number of slots of a target that requests may use which leave `reserved` free.
+pub fn usable_slots(capacity: u32, reserved: u32) -> u32 {
+    capacity.saturating_sub(reserved).max(1)
 }
 
 /// Chooses targets for the requests of one instance.
 #[derive(Debug, Default)]
 pub struct TargetChooser {
     zone: String,
+    /// Name of this instance, which decides its order of equal targets.
+    instance: String,
     registry: TargetRegistry,
     evacuated: Vec<String>,
     loads: HashMap<String, TargetLoad>,
 }
 
 impl TargetChooser {
-    /// Returns a chooser without targets, for an instance in `zone`.
-    pub fn new(zone: &str) -> Self {
+    /// Returns a chooser without targets, for the named instance in `zone`.
+    pub fn new(instance: &str, zone: &str) -> Self {
         Self {
             zone: zone.to_owned(),
+            instance: instance.to_owned(),
             ..Self::default()
         }
     }
@@ -134,7 +147,10 @@
             .candidates(query.service)
             .filter(|it| !query.tried.contains(&it.announcement.id))
             .filter_map(|it| Some((self.cost(now, it, query)?, it)))
-            .min_by(|left, right| left.0.total_cmp(&right.0));
+            .min_by(|left, right| {
+                let by_cost = left.0.total_cmp(&right.0);
+                by_cost.then_with(|| self.compare_ranks(left.1, right.1))
+            });
         let entry = best?.1.clone();
         let load = self.loads.entry(entry.announcement.id.clone()).or_default();
         load.outstanding += 1;
@@ -146,14 +162,31 @@
         Some(entry)
     }
 
-    /// Returns the cost of sending a request to a target, or `None` if the target is cold and
-    /// may not get a request yet.
+    /// Compares the places of two targets in this instance's order of equal targets.
+    fn compare_ranks(&self, left: &TargetEntry, right: &TargetEntry) -> Ordering {
+        let rank = |entry: &TargetEntry| {
+            let mut hasher = blake3::Hasher::new();
+            hasher.update(self.instance.as_bytes());
+            hasher.update(entry.announcement.id.as_bytes());
+            *hasher.finalize().as_bytes()
+        };
+        rank(left).cmp(&rank(right))
+    }
+
+    /// Returns the cost of sending a request to a target, or `None` if the target may not get a
+    /// request yet because it is cold or because the slots that the request may use are taken.
     fn cost(&self, now: ClockTime, entry: &TargetEntry, query: ChoiceQuery<'_>) -> Option<f64> {
         let default_load = TargetLoad::default();
         let load = self
             .loads
             .get(&entry.announcement.id)
             .unwrap_or(&default_load);
+        let slots = query
+            .reserved_slots
+            .map(|it| usable_slots(entry.announcement.capacity, it));
+        if slots.is_some_and(|it| load.outstanding >= it) {
+            return None;
+        }
         let mut cost = load.expected_ms(now) * f64::from(load.outstanding + 1);
         if now.since(load.used_at) >= CONNECTION_IDLE_MS {
             cost *= UNCONNECTED_FACTOR;
--- a/crates/service/src/dialect.rs
+++ b/crates/service/src/dialect.rs
@@ -28,8 +28,8 @@
 pub struct AnswerMetadata {
     /// ID of the answered request, as the target echoes it.
     pub request_id: Option<String>,
-    /// Whether the answer has the target's stamp; without it, a successful answer is not trusted.
-    pub is_stamped: bool,
+    /// Stamp of the target; without it, a successful answer is not trusted.
+    pub stamp: Option<String>,
     /// Whether the target states that it did not run the request.
     pub not_run: bool,
     /// Weight version at the start of the answer.
--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -162,7 +162,12 @@
     };
     let shared = Arc::new(EntryShared {
         leader,
-        forwarder: Forwarder::new(dialect, &settings.zone, settings.usage_window_ms),
+        forwarder: Forwarder::new(
+            dialect,
+            &settings.name,
+            &settings.zone,
+            settings.usage_window_ms,
+        ),
         index: Mutex::new(None),
         has_routes: watch::Sender::new(false),
         entry_count: AtomicU32::new(1),
--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -81,6 +81,9 @@
     /// Shortest interval between two requests from this instance to the same cold target, in
     /// milliseconds; `None` excludes cold targets.
     pub cold_pause_ms: Option<u64>,
+    /// Number of slots of each target that the request leaves free, or `None` if the target's own
+    /// queue limits the requests.
+    pub reserved_slots: Option<u32>,
 }
 
 /// Complete answer of a target.
@@ -88,6 +91,8 @@
 pub struct PlainAnswer {
     /// HTTP status.
     pub status: StatusCode,
+    /// Stamp of the target, if there is one.
+    pub stamp: Option<String>,
     /// Headers as the target sent them.
     pub headers: HeaderMap,
     /// Answer body.
@@ -107,6 +112,30 @@
     Late,
 }
 
+/// What became of a forwarded request.
+#[derive(Debug)]
+pub struct ForwardReport {
+    /// Outcome of the request.
+    pub outcome: PlainOutcome,
+    /// Number of targets that answered with an internal server error.
+    pub server_errors: u32,
+}
+
+/// What the tries of a request have shown so far.
+#[derive(Debug, Default)]
+struct ForwardTally {
+    may_have_run: bool,
+    server_errors: u32,
+}
+
+impl ForwardTally {
+    fn record_status(&mut self, status: StatusCode) {
+        if status == StatusCode::INTERNAL_SERVER_ERROR {
+            self.server_errors += 1;
+        }
+    }
+}
+
 /// Outcome of one try at a target.
 enum TryOutcome {
     Answered(PlainAnswer),
@@ -158,12 +187,13 @@
 }
 
 impl<D: TargetDialect> Forwarder<D> {
-    /// Returns a forwarder for an instance in `zone`; usage windows last `window_ms` milliseconds.
-    pub fn new(dialect: D, zone: &str, window_ms: u64) -> Self {
+    /// Returns a forwarder for the named instance in `zone`; usage windows last `window_ms`
+    /// milliseconds.
+    pub fn new(dialect: D, instance: &str, zone: &str, window_ms: u64) -> Self {
         Self {
             dialect,
             pool: TargetPool::new(),
-            chooser: Mutex::new(TargetChooser::new(zone)),
+            chooser: Mutex::new(TargetChooser::new(instance, zone)),
             usage: Mutex::default(),
             window_ms,
         }
@@ -184,19 +214,24 @@
         self.pool.prune();
     }
 
-    /// Forwards a request and returns its outcome. A request that may have run counts as usage of
-    /// its customer.
-    pub async fn forward(&self, request: &PlainRequest) -> PlainOutcome {
+    /// Forwards a request until it is answered or given up. A request that may have run counts as
+    /// usage of its customer.
+    pub async fn forward(&self, request: &PlainRequest) -> ForwardReport {
         let started_ms = unix_ms();
-        let mut may_have_run = false;
-        let outcome = self.try_targets(request, &mut may_have_run).await;
-        if may_have_run && let Some(customer) = &request.customer {
+        let mut tally = ForwardTally::default();
+        let outcome = self.try_targets(request, &mut tally).await;
+        if tally.may_have_run
+            && let Some(customer) = &request.customer
+        {
             lock(&self.usage).count(started_ms / self.window_ms.max(1), customer);
         }
-        outcome
+        ForwardReport {
+            outcome,
+            server_errors: tally.server_errors,
+        }
     }
 
-    async fn try_targets(&self, request: &PlainRequest, may_have_run: &mut bool) -> PlainOutcome {
+    async fn try_targets(&self, request: &PlainRequest, tally: &mut ForwardTally) -> PlainOutcome {
         let idempotent = request.kind == RouteKind::Safe;
         let hedge_ms = (request.latency_target_ms * HEDGE_TARGET_PERCENT / 100).max(MIN_HEDGE_MS);
         let mut tried: Vec<String> = Vec::new();
@@ -216,7 +251,7 @@
                 running.push(self.try_target(request, target, left_ms));
             }
             if running.is_empty() {
-                *may_have_run |= failed.is_some();
+                tally.may_have_run |= failed.is_some();
                 return match failed {
                     Some(Some(answer)) => PlainOutcome::Answered(answer),
                     Some(None) if left_ms < MIN_TRY_MS => PlainOutcome::Late,
@@ -236,10 +271,12 @@
             };
             match end {
                 Some(TryOutcome::Answered(answer)) if is_final(&answer, idempotent) => {
-                    *may_have_run = true;
+                    tally.may_have_run = true;
+                    tally.record_status(answer.status);
                     return PlainOutcome::Answered(answer);
                 }
                 Some(TryOutcome::Answered(answer)) => {
+                    tally.record_status(answer.status);
                     failed = Some(Some(answer));
                 }
                 Some(TryOutcome::Failed) => failed = failed.or(Some(None)),
@@ -250,7 +287,7 @@
                     }
                 }
                 None if request.limit.since(now()) == 0 => {
-                    *may_have_run = true;
+                    tally.may_have_run = true;
                     return PlainOutcome::Late;
                 }
                 None => {}
@@ -263,6 +300,7 @@
             service: &request.service,
             tried,
             cold_pause_ms: request.cold_pause_ms,
+            reserved_slots: request.reserved_slots,
         };
         self.chooser().choose(now(), query)
     }
@@ -348,11 +386,12 @@
         if metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
             return TryOutcome::NotRun;
         }
-        if head.status.is_success() && (!metadata.is_stamped || metadata.request_id.is_none()) {
+        if head.status.is_success() && (metadata.stamp.is_none() || metadata.request_id.is_none()) {
             return TryOutcome::Failed;
         }
         TryOutcome::Answered(PlainAnswer {
             status: head.status,
+            stamp: metadata.stamp,
             headers: head.headers,
             body: body.to_bytes(),
         })
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -120,6 +120,8 @@
     pub text: Bytes,
     /// Weight versions that generated the text, ascending.
     pub versions: Vec<u64>,
+    /// Score of the text, if the item has a reward call and is completed.
+    pub score: Option<String>,
 }
 
 /// Reply to a [`LeaderCall`].
--- a/crates/service/src/jobs.rs
+++ b/crates/service/src/jobs.rs
@@ -6,6 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::work::PartialText;
+
 /// Item of a batch job: a request for tokens that an engine runs later.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemSpec {
@@ -24,6 +26,42 @@
     pub group: String,
     /// Number of output tokens that the caller expects, if given; the estimate is often far off.
     pub expected_tokens: Option<u64>,
+    /// Reward call that scores the item's complete text, if the caller asks for a score.
+    #[serde(default)]
+    pub reward: Option<RewardCall>,
+}
+
+impl ItemSpec {
+    /// Clears what only open items need, to free its memory. The IDs stay.
+    fn clear_request(&mut self) {
+        self.body = Bytes::new();
+        self.headers = Vec::new();
+        self.path = String::new();
+        if let Some(reward) = &mut self.reward {
+            reward.host = String::new();
+            reward.path = String::new();
+            reward.body = Bytes::new();
+        }
+    }
+
+    /// Returns the ID of the item's reward call, if it has one.
+    pub fn reward_id(&self) -> Option<&str> {
+        self.reward.as_ref().map(|it| it.id.as_str())
+    }
+}
+
+/// Request whose successful answer carries the score of an item's text.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RewardCall {
+    /// ID of the request.
+    pub id: String,
+    /// Host that selects the route, without the port.
+    pub host: String,
+    /// Path and query of the request.
+    pub path: String,
+    /// Body of the request.
+    #[serde(with = "crate::payload")]
+    pub body: Bytes,
 }
 
 /// Batch job as the caller submitted it.
@@ -68,6 +106,33 @@
     pub text: Bytes,
     /// Weight versions that generated the text, ascending.
     pub versions: Vec<u64>,
+    /// Score of the text, if the item has a reward call and is completed.
+    #[serde(default)]
+    pub score: Option<String>,
+}
+
+impl ItemResult {
+    /// Returns the result of an item that was given up.
+    pub fn terminated(item: u32) -> Self {
+        Self {
+            item,
+            end: ItemEnd::Terminated,
+            text: Bytes::new(),
+            versions: Vec::new(),
+            score: None,
+        }
+    }
+
+    /// Returns the result of an item whose text is complete.
+    pub fn completed(item: u32, text: PartialText, score: Option<String>) -> Self {
+        Self {
+            item,
+            end: ItemEnd::Completed,
+            text: text.text(),
+            versions: text.versions,
+            score,
+        }
+    }
 }
 
 /// Batch job with its results so far.
@@ -144,10 +209,7 @@
         }
         let index = result.item as usize;
         job.listed[index] = true;
-        let item = &mut job.submission.items[index];
-        item.body = Bytes::new();
-        item.headers = Vec::new();
-        item.path = String::new();
+        job.submission.items[index].clear_request();
         job.results.push(result);
         true
     }
@@ -159,9 +221,7 @@
         };
         job.ended = true;
         for item in &mut job.submission.items {
-            item.body = Bytes::new();
-            item.headers = Vec::new();
-            item.path = String::new();
+            item.clear_request();
         }
         true
     }
@@ -186,20 +246,23 @@
         }
     }
 
-    /// Returns a completed result of the item with an ID, from any job of the customer, if all
-    /// weight versions that generated it are at least `min_version`.
+    /// Returns a completed result of an item, from any job of the customer, if all weight versions
+    /// that generated it are at least `min_version` and its score, if any, is from the same reward
+    /// call.
     pub fn finished(
         &self,
         customer: Option<&str>,
-        item: &str,
+        item: &ItemSpec,
         min_version: u64,
     ) -> Option<&ItemResult> {
         let jobs = self.jobs.values();
         let own = jobs.filter(|job| job.submission.customer.as_deref() == customer);
         own.flat_map(|job| job.results.iter().map(move |result| (job, result)))
             .find(|(job, result)| {
+                let spec = &job.submission.items[result.item as usize];
                 result.end == ItemEnd::Completed
-                    && job.submission.items[result.item as usize].id == item
+                    && spec.id == item.id
+                    && spec.reward_id() == item.reward_id()
                     && result.versions.iter().all(|it| *it >= min_version)
             })
             .map(|(_, result)| result)
--- a/crates/service/src/keeper/admit.rs
+++ b/crates/service/src/keeper/admit.rs
@@ -4,12 +4,12 @@
 use std::collections::HashSet;
 
 use super::core::KeeperCore;
+use super::scoring::UnscoredText;
 use crate::dialect::TargetDialect;
 use crate::jobs::ItemResult;
 use crate::jobs::JobRecord;
 use crate::jobs::JobSubmission;
 use crate::order::ItemRank;
-use crate::plan::RouteIndex;
 use crate::texts::TextKey;
 use crate::work::JobConstraints;
 use crate::work::PartialText;
@@ -24,6 +24,8 @@
     finished: Vec<ItemResult>,
     /// Partial texts to resume from, each with the index of its item in the submission.
     texts: Vec<(u32, PartialText)>,
+    /// Complete texts that still need a score, each with the index of its item.
+    unscored: Vec<(u32, PartialText)>,
 }
 
 impl<D: TargetDialect> KeeperCore<D> {
@@ -31,10 +33,11 @@
     /// unknown or no route matches it.
     pub(super) fn constraints_of(&self, job: &str) -> Option<JobConstraints> {
         let record = self.state.jobs.get(job)?;
-        let plan = &self.state.plan.as_ref()?.plan;
         let submission = &record.submission;
-        let index = RouteIndex::new(plan.clone());
-        let route = index.route(&submission.host, &submission.path)?;
+        let route = self
+            .routes
+            .as_ref()?
+            .route(&submission.host, &submission.path)?;
         let digest = blake3::hash(submission.id.as_bytes());
         // The hash of the job ID spreads jobs over the services of a traffic split.
         let split_point = f64::from(digest.as_bytes()[0]) / 256.0;
@@ -72,6 +75,7 @@
             items = record.submission.items.len(),
             open = start.open.len(),
             resumed = start.texts.len(),
+            unscored = start.unscored.len(),
             service = constraints.service.as_str(),
             min_version = constraints.min_version,
         });
@@ -85,9 +89,28 @@
         for (item, text) in start.texts {
             lead.scheduler.resume(job, item, text);
         }
+        for (item, text) in start.unscored {
+            self.queue_stored_text(job, item, text);
+        }
     }
 
-    /// Splits a job's open items into those that have to run and those that have a result.
+    /// Queues the reward call of an item whose complete text was stored before the job's admission.
+    fn queue_stored_text(&mut self, job: &str, item: u32, text: PartialText) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let unscored = UnscoredText {
+            job: job.to_owned(),
+            item,
+            text,
+            run: lead.scheduler.new_run_key(),
+            replicated_events: 0,
+        };
+        self.queue_score(now(), unscored);
+    }
+
+    /// Splits a job's open items into those that have to run, those that need only a score, and
+    /// those that have a result.
     fn plan_job_start(
         &self,
         job: &str,
@@ -106,7 +129,7 @@
             // A carried-over item that has a complete text does not run again.
             if is_carried
                 && !constraints.single_version
-                && let Some(result) = jobs.finished(customer, &item.id, constraints.min_version)
+                && let Some(result) = jobs.finished(customer, item, constraints.min_version)
             {
                 start.finished.push(ItemResult {
                     item: index,
@@ -114,16 +137,24 @@
                 });
                 continue;
             }
+            let key = TextKey {
+                customer: record.submission.customer.clone(),
+                item: item.id.clone(),
+            };
+            let text = self.texts.get(&key, constraints.min_version);
+            if let Some(text) = text.filter(|it| it.is_complete && item.reward.is_some())
+                && text.fits(constraints.min_version, constraints.single_version)
+            {
+                start.unscored.push((index, text.clone()));
+                continue;
+            }
             start.open.push(ItemRank {
                 item: index,
                 is_carried,
                 expected_tokens: item.expected_tokens.unwrap_or_default(),
             });
-            let key = TextKey {
-                customer: record.submission.customer.clone(),
-                item: item.id.clone(),
-            };
-            if let Some(text) = self.texts.get(&key, constraints.min_version) {
+            // A complete text has no further event from which a run could resume.
+            if let Some(text) = text.filter(|it| !it.is_complete) {
                 start.texts.push((index, text.clone()));
             }
         }
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -250,6 +250,7 @@
             end: result.end,
             text: Bytes::clone(&result.text),
             versions: result.versions.clone(),
+            score: result.score.clone(),
         });
     }
     LeaderReply::Results {
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -17,6 +17,7 @@
 use super::lead::LeaderState;
 use super::targets::load_targets;
 use crate::dialect::TargetDialect;
+use crate::forward::Forwarder;
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
 use crate::frames::LeaderReply;
@@ -27,6 +28,7 @@
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::link::LinkId;
+use crate::plan::RouteIndex;
 use crate::pool::TargetPool;
 use crate::registry::TargetView;
 use crate::state::ServiceState;
@@ -97,6 +99,8 @@
     pub(super) runtime: Handle,
     pub(super) events: mpsc::UnboundedSender<KeeperEvent>,
     pub(super) pool: Arc<TargetPool>,
+    /// Forwards reward calls.
+    pub(super) forwarder: Arc<Forwarder<D>>,
     pub(super) lease: LeaseWatch,
     /// Consensus node and its data folder; `None` after storage failed.
     pub(super) voter: Option<DiskVoter>,
@@ -106,6 +110,8 @@
     pub(super) outputs: Vec<ConsensusOutput>,
     /// Replicated state, as far as it has been applied.
     pub(super) state: ServiceState,
+    /// Index of the plan in force, if any.
+    pub(super) routes: Option<Arc<RouteIndex>>,
     /// Time at which this keeper first saw each job, by job ID.
     pub(super) first_seen_at: HashMap<String, ClockTime>,
     /// Open links, each with the peer's introduction and whether this process dialled it.
@@ -159,6 +165,12 @@
         let last_targets = load_targets(&settings.data);
         let mut core = Self {
             voter: Some(open_voter(folder.0, folder.1, time)),
+            forwarder: Arc::new(Forwarder::new(
+                dialect.clone(),
+                &settings.name,
+                &settings.zone,
+                settings.usage_window_ms,
+            )),
             settings,
             dialect,
             hello,
@@ -170,6 +182,7 @@
             reopen_at: time,
             outputs: Vec::new(),
             state: ServiceState::default(),
+            routes: None,
             first_seen_at: HashMap::new(),
             links: BTreeMap::new(),
             keepers: BTreeMap::new(),
@@ -305,6 +318,7 @@
     fn on_event(&mut self, event: KeeperEvent) {
         match event {
             KeeperEvent::RunEnded(run, end) => self.on_run_ended(run, end),
+            KeeperEvent::RewardEnded(key, end) => self.on_reward_ended(key, end),
             KeeperEvent::WeightsOrdered {
                 id,
                 born,
@@ -355,6 +369,7 @@
         self.maintain_texts(time);
         self.save_targets_if_due(time);
         self.calls.prune();
+        self.forwarder.prune();
     }
 
     /// Reopens the data folder after storage failed and restores the state from it.
@@ -368,6 +383,7 @@
                 spdlog::info!("storage: data folder reopened");
                 self.voter = Some(open_voter(folder, content, time));
                 self.state = ServiceState::default();
+                self.routes = None;
                 self.restore_from_disk();
             }
             Err(error) => {
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -9,6 +9,7 @@
 
 use super::core::CallOrigin;
 use super::core::KeeperCore;
+use super::scoring::RewardHandle;
 use super::view::ViewChanges;
 use crate::dialect::TargetDialect;
 use crate::frames::LeadHint;
@@ -20,6 +21,8 @@
 use crate::registry::TargetRegistry;
 use crate::run::RunProgress;
 use crate::schedule::ItemScheduler;
+use crate::scoring::ScoreKey;
+use crate::scoring::ScoreQueue;
 use crate::state::StateCommand;
 use crate::texts::TextKey;
 use crate::weights::WeightPlanner;
@@ -85,6 +88,9 @@
     pub(super) weights: WeightPlanner,
     pub(super) repair: RepairPlanner,
     pub(super) runs: HashMap<RunKey, RunHandle>,
+    /// Items whose complete texts are scored before they are listed.
+    pub(super) scores: ScoreQueue,
+    pub(super) reward_calls: HashMap<ScoreKey, RewardHandle>,
     /// Results to propose, each with its job.
     pub(super) results: Vec<(String, ItemResult)>,
     pub(super) waiters: Vec<ResultWaiter>,
@@ -142,6 +148,8 @@
             weights: WeightPlanner::default(),
             repair: RepairPlanner::new(time, repair),
             runs: HashMap::new(),
+            scores: ScoreQueue::default(),
+            reward_calls: HashMap::new(),
             results: Vec::new(),
             waiters: Vec::new(),
             changes: ViewChanges::default(),
@@ -177,7 +185,7 @@
             leads: false,
             term: lead.term,
         });
-        // The runs stop when their handles are dropped with `lead`.
+        // Runs and reward calls stop when their handles are dropped with `lead`.
         spdlog::info!("lead: ended", kv: { term = lead.term, runs = lead.runs.len() });
     }
 
@@ -234,6 +242,8 @@
                     lead.changes.zones = true;
                 }
                 self.reroute_jobs();
+                self.reroute_rewards();
+                self.update_chooser(now());
                 self.push_views();
             }
             ChangeEffect::JobAdded(job) => self.admit_job(&job),
@@ -279,6 +289,7 @@
         }
         self.expire_items(time);
         self.assign_items(time);
+        self.make_reward_calls(time);
         self.order_weights_if_due(time);
         self.push_views();
         self.answer_waiters(None);
@@ -310,6 +321,8 @@
         lead.active = false;
         lead.runs.clear();
         lead.scheduler.clear();
+        lead.scores = ScoreQueue::default();
+        lead.reward_calls.clear();
         lead.results.clear();
         lead.full_view_links.clear();
         let term = lead.term;
@@ -357,6 +370,9 @@
         METRICS.lead_term.set(lead.term as i64);
         METRICS.items_waiting.set(lead.scheduler.waiting() as i64);
         METRICS.runs_active.set(lead.runs.len() as i64);
+        let (scores_waiting, calls_active) = lead.scores.counts();
+        METRICS.scores_waiting.set(scores_waiting as i64);
+        METRICS.reward_calls_active.set(calls_active as i64);
         METRICS.targets.set(lead.registry.iter().count() as i64);
         METRICS.log_bytes.set(log_bytes as i64);
         for (key, run) in &lead.runs {
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -12,6 +12,7 @@
 mod outputs;
 mod peers;
 mod repair;
+mod scoring;
 mod targets;
 mod texts;
 mod view;
@@ -37,6 +38,8 @@
 use crate::leader_client::LeaderClient;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
+use crate::scoring::ScoreEnd;
+use crate::scoring::ScoreKey;
 use crate::weights::OrderAnswer;
 use crate::weights::OrderReport;
 use crate::work::RunEnd;
@@ -79,6 +82,8 @@
 pub(crate) enum KeeperEvent {
     /// A run of an item ended.
     RunEnded(RunKey, RunEnd),
+    /// A reward call of an item was answered or failed.
+    RewardEnded(ScoreKey, ScoreEnd),
     /// A weight order to an engine was answered or failed.
     WeightsOrdered {
         /// ID of the engine.
--- a/crates/service/src/keeper/outputs.rs
+++ b/crates/service/src/keeper/outputs.rs
@@ -1,5 +1,7 @@
 //! Proposal of changes, processing of the consensus node's outputs, and application of entries.
 
+use std::sync::Arc;
+
 use super::core::CallOrigin;
 use super::core::KeeperCore;
 use super::core::PendingChange;
@@ -10,6 +12,7 @@
 use crate::metrics::METRICS;
 use crate::payload::decode_command;
 use crate::payload::encode_command;
+use crate::plan::RouteIndex;
 use crate::state::ServiceState;
 use crate::state::StateCommand;
 use bergamotlane_coordination::consensus::ConsensusMessage;
@@ -49,6 +52,7 @@
                 }
             }
         }
+        self.index_plan();
         self.state.skip(snapshot.index);
         let time = now();
         for (id, _) in self.state.jobs.iter() {
@@ -164,9 +168,20 @@
         }
         let effect = self.effect_of(&command);
         self.state.apply(index, command);
+        self.index_plan();
         self.apply_effect(effect);
     }
 
+    /// Builds the index of the plan in force, unless it is up to date.
+    fn index_plan(&mut self) {
+        let known = self.routes.as_ref().map(|it| it.plan().version);
+        if let Some(record) = &self.state.plan
+            && known != Some(record.plan.version)
+        {
+            self.routes = Some(Arc::new(RouteIndex::new(record.plan.clone())));
+        }
+    }
+
     fn answer_pending(&mut self, index: u64, term: u64) {
         let Some(pending) = self.pending.remove(&index) else {
             return;
--- /dev/null
+++ b/crates/service/src/keeper/scoring.rs
@@ -0,0 +1,300 @@
+//! Reward calls: the leader has the complete texts of items scored before it lists them.
+
+use std::collections::HashMap;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::Method;
+use http::header::HOST;
+use tokio::task::AbortHandle;
+
+use super::KeeperEvent;
+use super::core::KeeperCore;
+use super::texts::global_run_id;
+use super::work::NON_ROLLOUT_SLOTS;
+use crate::choice::usable_slots;
+use crate::dialect::TargetDialect;
+use crate::forward::ForwardReport;
+use crate::forward::PlainOutcome;
+use crate::forward::PlainRequest;
+use crate::jobs::JobTable;
+use crate::jobs::RewardCall;
+use crate::metrics::METRICS;
+use crate::plan::RouteIndex;
+use crate::plan::RouteKind;
+use crate::plan::RouteRule;
+use crate::registry::TargetStage;
+use crate::scoring::ScoreEnd;
+use crate::scoring::ScoreKey;
+use crate::scoring::ScoreTask;
+use crate::texts::TextKey;
+use crate::work::PartialText;
+use crate::work::RunKey;
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_storage::clock::now;
+
+/// Reward call in progress; dropping it aborts the call.
+#[derive(Debug)]
+pub(super) struct RewardHandle(AbortHandle);
+
+impl Drop for RewardHandle {
+    fn drop(&mut self) {
+        self.0.abort();
+    }
+}
+
+/// Complete text of an item, ready to be scored.
+#[derive(Debug)]
+pub(super) struct UnscoredText {
+    pub(super) job: String,
+    /// Index of the item in its submission.
+    pub(super) item: u32,
+    pub(super) text: PartialText,
+    /// Run that generated the text under this leader.
+    pub(super) run: RunKey,
+    /// Number of events of the text that were sent to the other voters.
+    pub(super) replicated_events: u32,
+}
+
+impl<D: TargetDialect> KeeperCore<D> {
+    /// Returns whether the caller wants the text of an item scored.
+    pub(super) fn needs_score(&self, job: &str, item: u32) -> bool {
+        reward_of(&self.state.jobs, job, item).is_some()
+    }
+
+    /// Queues the reward call of an item whose text is complete.
+    pub(super) fn queue_score(&mut self, time: ClockTime, unscored: UnscoredText) {
+        let Some(constraints) = self.constraints_of(&unscored.job) else {
+            return;
+        };
+        let (Some(record), Some(reward)) = (
+            self.state.jobs.get(&unscored.job),
+            reward_of(&self.state.jobs, &unscored.job, unscored.item),
+        ) else {
+            return;
+        };
+        let route = self
+            .routes
+            .as_deref()
+            .and_then(|it| it.reward_route(reward));
+        let route_attempts = route.map_or(0, |it| it.max_attempts);
+        let submission = &record.submission;
+        let text_key = TextKey {
+            customer: submission.customer.clone(),
+            item: submission.items[unscored.item as usize].id.clone(),
+        };
+        let service = route.and_then(|it| reward_service(it, reward));
+        let is_first = self.lead.as_ref().is_some_and(|it| it.scores.is_empty());
+        if is_first {
+            self.update_chooser(time);
+        }
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let task = ScoreTask {
+            job: unscored.job,
+            item: unscored.item,
+            due: constraints.due,
+            expires: constraints.expires,
+            max_errors: constraints.max_attempts.max(route_attempts),
+            service,
+            text: unscored.text,
+            text_key,
+            run: global_run_id(lead.term, unscored.run),
+            replicated_events: unscored.replicated_events,
+        };
+        spdlog::debug!("reward: text complete", kv: {
+            job = task.job.as_str(),
+            item = task.item,
+            request = task_request(&self.state.jobs, &task),
+            service = task.service.as_deref().unwrap_or_default(),
+        });
+        lead.scores.add(time, task);
+    }
+
+    /// Makes the reward calls that are due and for which the services have free slots.
+    pub(super) fn make_reward_calls(&mut self, time: ClockTime) {
+        let Some(lead) = self.lead.as_mut().filter(|it| !it.scores.is_empty()) else {
+            return;
+        };
+        for (key, job, result) in lead.scores.expire(time) {
+            lead.reward_calls.remove(&key);
+            lead.results.push((job, result));
+        }
+        if lead.scores.counts().0 == 0 {
+            return;
+        }
+        let slots = self.reward_slots();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        for key in lead.scores.next_calls(time, &slots) {
+            self.start_reward_call(time, key);
+        }
+    }
+
+    /// Returns the number of reward calls that each service may have in progress.
+    fn reward_slots(&self) -> HashMap<String, u32> {
+        let mut slots = HashMap::new();
+        let targets = self.lead.iter().flat_map(|it| it.registry.iter());
+        for (_, entry) in targets {
+            let announcement = &entry.announcement;
+            let is_usable = entry.stage == TargetStage::Ready
+                && !self.state.evacuated.contains(&announcement.zone);
+            if is_usable {
+                let free = slots.entry(announcement.service.clone()).or_insert(0);
+                *free += usable_slots(announcement.capacity, NON_ROLLOUT_SLOTS);
+            }
+        }
+        slots
+    }
+
+    fn start_reward_call(&mut self, time: ClockTime, key: ScoreKey) {
+        let request = self.reward_request(time, key);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let Some(request) = request else {
+            // The route has gone since the service was set; the item waits for the next plan.
+            lead.scores.finish_call(time, key, ScoreEnd::default());
+            return;
+        };
+        let (forwarder, events) = (self.forwarder.clone(), self.events.clone());
+        let call = self.runtime.spawn(async move {
+            let report = forwarder.forward(&request).await;
+            // The control thread runs until the process exits.
+            let end = score_end(report);
+            events.send(KeeperEvent::RewardEnded(key, end)).ok();
+        });
+        let handle = RewardHandle(call.abort_handle());
+        lead.reward_calls.insert(key, handle);
+    }
+
+    /// Builds the reward call of an item, or returns `None` if no route matches.
+    fn reward_request(&self, time: ClockTime, key: ScoreKey) -> Option<PlainRequest> {
+        let lead = self.lead.as_ref()?;
+        let task = lead.scores.get(key)?;
+        let reward = reward_of(&self.state.jobs, &task.job, task.item)?;
+        let routes = self.routes.as_deref()?;
+        let route = routes.reward_route(reward)?;
+        let service = reward_service(route, reward)?;
+        let cold_per_s = routes.service(&service).map_or(0.0, |it| it.cold_per_s);
+        let mut headers = HeaderMap::new();
+        headers.insert(HOST, HeaderValue::from_str(&reward.host).ok()?);
+        let limit = time + route.time_limit_ms;
+        Some(PlainRequest {
+            id: reward.id.clone(),
+            method: Method::POST,
+            path: reward.path.clone(),
+            headers,
+            body: reward.body.clone(),
+            customer: None,
+            service,
+            kind: RouteKind::Safe,
+            max_attempts: route.max_attempts.min(lead.scores.errors_left(key)),
+            latency_target_ms: route.latency_target_ms,
+            limit: limit.min(task.expires),
+            cold_pause_ms: self.cold_pause_ms(cold_per_s),
+            reserved_slots: Some(NON_ROLLOUT_SLOTS),
+        })
+    }
+
+    /// Returns the shortest interval between two calls to the same cold target, in milliseconds;
+    /// the leader takes one share of its rate beside the entries.
+    fn cold_pause_ms(&self, cold_per_s: f64) -> Option<u64> {
+        let sharers = f64::from(self.entry_count() + 1);
+        (cold_per_s > 0.0).then(|| (sharers * 1_000.0 / cold_per_s) as u64)
+    }
+
+    pub(super) fn on_reward_ended(&mut self, key: ScoreKey, end: ScoreEnd) {
+        let time = now();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        if lead.reward_calls.remove(&key).is_none() {
+            return;
+        }
+        let outcome = match (&end.score, end.server_errors) {
+            (Some(_), _) => "scored",
+            (None, 0) => "failed",
+            (None, _) => "server error",
+        };
+        METRICS.reward_calls.with_label_values(&[outcome]).inc();
+        let took_ms = lead.scores.age_ms(time, key);
+        if let Some(task) = lead.scores.get(key).filter(|_| end.score.is_none()) {
+            spdlog::info!("reward: call failed", kv: {
+                job = task.job.as_str(),
+                item = task.item,
+                request = task_request(&self.state.jobs, task),
+                service = task.service.as_deref().unwrap_or_default(),
+                outcome,
+                server_errors = end.server_errors,
+                since_text_ms = took_ms,
+            });
+        }
+        if let Some((job, result)) = lead.scores.finish_call(time, key, end) {
+            METRICS.score_seconds.observe(took_ms as f64 / 1_000.0);
+            lead.results.push((job, result));
+        }
+    }
+
+    /// Directs later reward calls to the services that the plan in force names.
+    pub(super) fn reroute_rewards(&mut self) {
+        let (jobs, routes) = (&self.state.jobs, self.routes.as_deref());
+        if let Some(lead) = &mut self.lead {
+            lead.scores.set_services(|task| {
+                let reward = reward_of(jobs, &task.job, task.item)?;
+                reward_service(routes?.reward_route(reward)?, reward)
+            });
+        }
+    }
+
+    /// Brings the targets and evacuated zones that reward calls choose from up to date.
+    pub(super) fn update_chooser(&self, time: ClockTime) {
+        let Some(lead) = &self.lead else {
+            return;
+        };
+        let mut chooser = self.forwarder.chooser();
+        chooser.set_evacuated(self.state.evacuated.iter().cloned().collect());
+        chooser.update(time, &lead.registry.views(time));
+    }
+}
+
+/// Returns the reward call of an open item.
+fn reward_of<'a>(jobs: &'a JobTable, job: &str, item: u32) -> Option<&'a RewardCall> {
+    let record = jobs.get(job).filter(|it| it.is_open(item))?;
+    record.submission.items[item as usize].reward.as_ref()
+}
+
+/// Returns the request ID of a task's reward call, for log lines.
+fn task_request<'a>(jobs: &'a JobTable, task: &ScoreTask) -> &'a str {
+    reward_of(jobs, &task.job, task.item).map_or("", |it| it.id.as_str())
+}
+
+/// Returns the service of a route that a reward call goes to; calls with the same ID go to the
+/// same one.
+fn reward_service(route: &RouteRule, reward: &RewardCall) -> Option<String> {
+    let digest = blake3::hash(reward.id.as_bytes());
+    let split_point = f64::from(digest.as_bytes()[0]) / 256.0;
+    route.service_at(split_point).map(str::to_owned)
+}
+
+/// Returns the end of a reward call; only a successful answer has a score.
+fn score_end(report: ForwardReport) -> ScoreEnd {
+    let score = match report.outcome {
+        PlainOutcome::Answered(answer) if answer.status.is_success() => answer.stamp,
+        _ => None,
+    };
+    ScoreEnd {
+        score,
+        server_errors: report.server_errors,
+    }
+}
+
+impl RouteIndex {
+    /// Returns the route of a reward call.
+    fn reward_route(&self, reward: &RewardCall) -> Option<&RouteRule> {
+        let path = reward.path.split('?').next().unwrap_or_default();
+        self.route(&reward.host, path)
+    }
+}
--- a/crates/service/src/keeper/texts.rs
+++ b/crates/service/src/keeper/texts.rs
@@ -35,7 +35,8 @@
         }
     }
 
-    /// Stores the partial texts of the runs of `job`, or of all runs for `None`.
+    /// Stores the partial texts of the runs of `job` and its complete texts without a score, or
+    /// those of all jobs for `None`.
     pub(super) fn store_texts(&mut self, job: Option<&str>) {
         let time = now();
         let Some(lead) = &self.lead else {
@@ -48,6 +49,13 @@
                 self.texts.insert(time, handle.key.clone(), run_id, text);
             }
         }
+        for task in lead.scores.tasks() {
+            if job.is_none_or(|it| it == task.job) {
+                let text = task.text.clone();
+                self.texts
+                    .insert(time, task.text_key.clone(), task.run, text);
+            }
+        }
     }
 
     /// Drops the partial texts of items whose results are listed.
@@ -80,10 +88,13 @@
     /// Makes the next replication send all texts from their start, for a voter that has just
     /// joined.
     pub(super) fn restart_text_replication(&mut self) {
-        let runs = self.lead.iter_mut().flat_map(|it| it.runs.values_mut());
-        for handle in runs {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        for handle in lead.runs.values_mut() {
             handle.replicated_events = 0;
         }
+        lead.scores.restart_replication();
     }
 
     /// Sends what each run has added to its text since the last replication.
@@ -107,6 +118,14 @@
             ));
             handle.replicated_events = text.events.len() as u32;
         }
+        for task in lead.scores.take_unreplicated() {
+            deltas.extend(TextDelta::since(
+                &task.text_key,
+                task.run,
+                task.replicated_events,
+                &task.text,
+            ));
+        }
         if deltas.is_empty() {
             return;
         }
--- a/crates/service/src/keeper/view.rs
+++ b/crates/service/src/keeper/view.rs
@@ -41,7 +41,7 @@
 
 impl<D: TargetDialect> KeeperCore<D> {
     /// Returns the number of linked entries.
-    fn entry_count(&self) -> u32 {
+    pub(super) fn entry_count(&self) -> u32 {
         let entries = self
             .links
             .values()
@@ -118,7 +118,11 @@
             return;
         }
         if changes.targets {
+            let has_scores = !lead.scores.is_empty();
             self.schedule_targets_save();
+            if has_scores {
+                self.update_chooser(now());
+            }
         }
         for for_keeper in [false, true] {
             let Some(view) = self.build_view(changes, for_keeper) else {
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -11,8 +11,10 @@
 use super::core::KeeperCore;
 use super::lead::LeaderState;
 use super::lead::RunHandle;
+use super::scoring::UnscoredText;
 use super::texts::global_run_id;
 use crate::dialect::TargetDialect;
+use crate::jobs::ItemEnd;
 use crate::metrics::METRICS;
 use crate::plan::RouteKind;
 use crate::registry::TargetAnnouncement;
@@ -29,9 +31,9 @@
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
 
-/// Slots of an engine that stay free for requests of routes other than rollout, if its service has
-/// any.
-const NON_ROLLOUT_SLOTS: u32 = 2;
+/// Slots of a target that runs of items and reward calls leave free for callers' requests, if its
+/// service has any.
+pub(super) const NON_ROLLOUT_SLOTS: u32 = 2;
 
 /// Most results that one replicated change lists.
 const MAX_RESULTS_PER_CHANGE: usize = 64;
@@ -62,6 +64,9 @@
         for run in lead.scheduler.drop_job(job) {
             lead.runs.remove(&run);
         }
+        for key in lead.scores.drop_job(job) {
+            lead.reward_calls.remove(&key);
+        }
         lead.results.retain(|(it, _)| it != job);
     }
 
@@ -156,6 +161,7 @@
             items = record.listed.len(),
             listed = record.results.len(),
             waiting = lead.scheduler.waiting_of(job),
+            unscored = lead.scores.tasks().filter(|it| it.job == job).count(),
         });
     }
 
@@ -227,9 +233,22 @@
         }
         if let RunEnd::Broken(text) = &end {
             let run_id = global_run_id(lead.term, run);
-            self.texts.insert(time, handle.key, run_id, text.clone());
+            self.texts
+                .insert(time, handle.key.clone(), run_id, text.clone());
         }
-        if let Some((job, result)) = lead.scheduler.finish_run(time, run, end) {
+        let Some((job, result)) = lead.scheduler.finish_run(time, run, end) else {
+            return;
+        };
+        if result.end == ItemEnd::Completed && self.needs_score(&job, result.item) {
+            let unscored = UnscoredText {
+                job,
+                item: result.item,
+                text: handle.progress.text().clone(),
+                run,
+                replicated_events: handle.replicated_events,
+            };
+            self.queue_score(time, unscored);
+        } else if let Some(lead) = &mut self.lead {
             lead.results.push((job, result));
         }
     }
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod registry;
 pub mod run;
 pub mod schedule;
+pub mod scoring;
 pub mod state;
 pub mod texts;
 pub mod usage;
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -33,6 +33,14 @@
     pub tries: IntCounterVec,
     /// Number of runs of items, by outcome.
     pub runs: IntCounterVec,
+    /// Number of reward calls, by outcome.
+    pub reward_calls: IntCounterVec,
+    /// Time from an item's complete text to its score, in seconds.
+    pub score_seconds: Histogram,
+    /// Number of complete texts that wait for a reward call.
+    pub scores_waiting: IntGauge,
+    /// Number of reward calls in progress.
+    pub reward_calls_active: IntGauge,
     /// Number of items whose results were listed.
     pub items_listed: IntCounter,
     /// Number of orders to load weights, by the engine's answer.
@@ -81,11 +89,18 @@
         let latency = HistogramOpts::new("answer_seconds", "Time to answer callers.")
             .buckets(LATENCY_BUCKETS_S.to_vec());
         let latency = Histogram::with_opts(latency).expect("metric names are valid");
+        let scoring = HistogramOpts::new("score_seconds", "Time from a text to its score.")
+            .buckets(LATENCY_BUCKETS_S.to_vec());
+        let scoring = Histogram::with_opts(scoring).expect("metric names are valid");
         Self {
             answers: counters("answers_total", "Answers to callers.", "status"),
             answer_seconds: register(&registry, latency),
             tries: counters("target_tries_total", "Tries at targets.", "outcome"),
             runs: counters("item_runs_total", "Runs of items.", "outcome"),
+            reward_calls: counters("reward_calls_total", "Reward calls.", "outcome"),
+            score_seconds: register(&registry, scoring),
+            scores_waiting: gauge("scores_waiting", "Texts that wait for a reward call."),
+            reward_calls_active: gauge("reward_calls_active", "Reward calls in progress."),
             items_listed: counter("items_listed_total", "Items listed."),
             weight_orders: counters("weight_orders_total", "Orders for weights.", "answer"),
             windows_reported: counter("usage_windows_total", "Usage windows taken."),
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -124,7 +124,11 @@
         _ = stop => None,
     };
     match end {
-        Some(StreamEnd::Whole) => RunEnd::Completed(progress.text().clone()),
+        Some(StreamEnd::Whole) => {
+            let mut text = progress.text();
+            text.is_complete = true;
+            RunEnd::Completed(text.clone())
+        }
         Some(StreamEnd::Broken) | None => RunEnd::Broken(progress.text().clone()),
         Some(StreamEnd::Other(end)) => end,
     }
@@ -170,7 +174,7 @@
         return end;
     }
     let version = metadata.version.unwrap_or(request.version);
-    if !metadata.is_stamped || version < request.min_version {
+    if metadata.stamp.is_none() || version < request.min_version {
         return StreamEnd::Broken;
     }
     let reading = read_stream(dialect, response.into_body(), version, progress);
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -13,10 +13,7 @@
 use std::collections::HashSet;
 use std::collections::VecDeque;
 
-use bytes::Bytes;
-
 use crate::engine_load::EngineLoad;
-use crate::jobs::ItemEnd;
 use crate::jobs::ItemResult;
 use crate::order::ItemRank;
 use crate::order::latest_start;
@@ -186,6 +183,12 @@
         };
     }
 
+    /// Returns a new key, for a text that needs no run.
+    pub fn new_run_key(&mut self) -> RunKey {
+        self.next_run += 1;
+        RunKey(self.next_run)
+    }
+
     /// Gives up the items of jobs that are past their time to live. Returns their results, and the
     /// runs that the caller must stop.
     pub fn expire(&mut self, now: ClockTime) -> (Vec<(String, ItemResult)>, Vec<RunKey>) {
@@ -196,9 +199,13 @@
                 continue;
             }
             let items: Vec<u32> = queue.waiting.drain(..).collect();
-            results.extend(items.into_iter().map(|it| (id.clone(), terminated(it))));
+            results.extend(
+                items
+                    .into_iter()
+                    .map(|it| (id.clone(), ItemResult::terminated(it))),
+            );
             for (key, run) in self.runs.iter().filter(|(_, run)| run.job == *id) {
-                results.push((id.clone(), terminated(run.item)));
+                results.push((id.clone(), ItemResult::terminated(run.item)));
                 stopped.push(*key);
             }
         }
@@ -339,22 +346,13 @@
         let queue = self.jobs.get_mut(&run.job)?;
         match end {
             RunEnd::Completed(partial) => {
-                let is_recent = partial
-                    .versions
-                    .iter()
-                    .all(|it| *it >= queue.constraints.min_version);
-                let is_consistent =
-                    !queue.constraints.single_version || partial.versions.len() == 1;
-                if !is_recent || !is_consistent || partial.versions.is_empty() {
+                let constraints = &queue.constraints;
+                let fits = partial.fits(constraints.min_version, constraints.single_version);
+                if !fits || partial.versions.is_empty() {
                     queue.waiting.push_front(run.item);
                     return None;
                 }
-                let result = ItemResult {
-                    item: run.item,
-                    end: ItemEnd::Completed,
-                    text: partial.text(),
-                    versions: partial.versions,
-                };
+                let result = ItemResult::completed(run.item, partial, None);
                 return Some((run.job, result));
             }
             RunEnd::Broken(partial) => {
@@ -364,10 +362,10 @@
                 let failures = queue.failures.entry(run.item).or_default();
                 *failures += 1;
                 if *failures >= queue.constraints.max_attempts {
-                    return Some((run.job, terminated(run.item)));
+                    return Some((run.job, ItemResult::terminated(run.item)));
                 }
             }
-            RunEnd::Rejected => return Some((run.job, terminated(run.item))),
+            RunEnd::Rejected => return Some((run.job, ItemResult::terminated(run.item))),
             RunEnd::Refused | RunEnd::Misdirected | RunEnd::Unreachable => {}
         }
         queue.waiting.push_front(run.item);
@@ -375,16 +373,6 @@
     }
 }
 
-/// Returns the result of an item that is given up.
-fn terminated(item: u32) -> ItemResult {
-    ItemResult {
-        item,
-        end: ItemEnd::Terminated,
-        text: Bytes::new(),
-        versions: Vec::new(),
-    }
-}
-
 /// Returns the engine with the least cost for an item of a job, if one has a free slot.
 fn choose_engine<'a>(
     loads: &mut HashMap<String, EngineLoad>,
--- a/crates/service/src/texts.rs
+++ b/crates/service/src/texts.rs
@@ -41,19 +41,24 @@
     pub last_id: Option<u64>,
     /// Weight versions that generated the text so far, ascending.
     pub versions: Vec<u64>,
+    /// Whether the text is complete with this delta.
+    #[serde(default)]
+    pub is_complete: bool,
 }
 
 impl TextDelta {
-    /// Returns the events of a text from `offset` on, or `None` if there are none.
+    /// Returns the events of a text from `offset` on, or `None` if there are none and the text is
+    /// not complete.
     pub fn since(key: &TextKey, run: u64, offset: u32, text: &PartialText) -> Option<Self> {
         let events = text.events.get(offset as usize..)?;
-        (!events.is_empty()).then(|| Self {
+        (!events.is_empty() || text.is_complete).then(|| Self {
             key: key.clone(),
             run,
             offset,
             events: events.to_vec(),
             last_id: text.last_id,
             versions: text.versions.clone(),
+            is_complete: text.is_complete,
         })
     }
 }
@@ -93,6 +98,7 @@
                 events: delta.events,
                 last_id: delta.last_id,
                 versions: delta.versions,
+                is_complete: delta.is_complete,
             };
             self.insert(now, delta.key, delta.run, text);
             return;
@@ -106,6 +112,7 @@
         stored.text.events.extend(delta.events);
         stored.text.last_id = delta.last_id;
         stored.text.versions = delta.versions;
+        stored.text.is_complete = delta.is_complete;
         stored.grown_at = now;
     }
 
--- a/crates/service/src/work.rs
+++ b/crates/service/src/work.rs
@@ -54,6 +54,8 @@
     pub last_id: Option<u64>,
     /// Weight versions that generated the events, ascending and without duplicates.
     pub versions: Vec<u64>,
+    /// Whether the text is the item's entire output.
+    pub is_complete: bool,
 }
 
 impl PartialText {
@@ -76,6 +78,13 @@
         text.freeze()
     }
 
+    /// Returns whether a job accepts the weight versions of this text.
+    pub fn fits(&self, min_version: u64, single_version: bool) -> bool {
+        let is_recent = self.versions.iter().all(|it| *it >= min_version);
+        let is_consistent = !single_version || self.versions.len() <= 1;
+        is_recent && is_consistent
+    }
+
     /// Returns whether a run at an engine with the weights of `version` may resume from this text.
     pub fn can_resume(&self, constraints: &JobConstraints, version: u64) -> bool {
         let is_recent = self
--- a/crates/service/tests/choice.rs
+++ b/crates/service/tests/choice.rs
@@ -37,7 +37,7 @@
 }
 
 fn chooser(views: &[TargetView]) -> TargetChooser {
-    let mut chooser = TargetChooser::new("a");
+    let mut chooser = TargetChooser::new("entry", "a");
     chooser.update(START, views);
     chooser
 }
@@ -47,6 +47,7 @@
         service: "desk",
         tried,
         cold_pause_ms: Some(1_000),
+        reserved_slots: None,
     };
     chooser
         .choose(now, query)
--- a/crates/service/tests/state.rs
+++ b/crates/service/tests/state.rs
@@ -11,6 +11,7 @@
 use bergamotlane_service::jobs::ItemResult;
 use bergamotlane_service::jobs::ItemSpec;
 use bergamotlane_service::jobs::JobSubmission;
+use bergamotlane_service::jobs::RewardCall;
 use bergamotlane_service::payload::decode_command;
 use bergamotlane_service::payload::encode_command;
 use bergamotlane_service::plan::RoutingPlan;
@@ -28,6 +29,7 @@
         tokens: 16,
         group: format!("g{}", index / 2),
         expected_tokens: None,
+        reward: None,
     };
     JobSubmission {
         id: id.to_owned(),
@@ -41,12 +43,28 @@
     }
 }
 
+fn reward(id: &str) -> RewardCall {
+    RewardCall {
+        id: id.to_owned(),
+        host: "desk.example".to_owned(),
+        path: "/l/score".to_owned(),
+        body: Bytes::from(format!("body of {id}")),
+    }
+}
+
+fn submit_scored(id: &str) -> StateCommand {
+    let mut submission = submission(id, 2);
+    submission.items[1].reward = Some(reward("score-1"));
+    StateCommand::Submit(Box::new(submission))
+}
+
 fn result(item: u32, text: &str) -> ItemResult {
     ItemResult {
         item,
         end: ItemEnd::Completed,
         text: Bytes::copy_from_slice(text.as_bytes()),
         versions: vec![1],
+        score: None,
     }
 }
 
@@ -133,10 +151,11 @@
         2,
         StateCommand::List(vec![("j".to_owned(), result(0, "a"))]),
     );
+    let item = &submission("later", 1).items[0];
     let found = |customer: &str, min_version| {
         state
             .jobs
-            .finished(Some(customer), "i0", min_version)
+            .finished(Some(customer), item, min_version)
             .map(|result| result.text.clone())
     };
     assert_eq!(found("mint", 1), Some(Bytes::from_static(b"a")));
@@ -144,6 +163,29 @@
     assert_eq!(found("ridge", 1), None);
 }
 
+/// Guards against a score that belongs to another reward call than the one of the later job.
+#[test]
+fn a_scored_result_is_found_only_for_the_same_reward_call() {
+    let mut state = ServiceState::default();
+    let mut first = submission("j", 1);
+    first.items[0].reward = Some(reward("score-1"));
+    state.apply(1, StateCommand::Submit(Box::new(first)));
+    let scored = ItemResult {
+        score: Some("stamp".to_owned()),
+        ..result(0, "a")
+    };
+    state.apply(2, StateCommand::List(vec![("j".to_owned(), scored)]));
+    let found = |reward: Option<RewardCall>| {
+        let mut item = submission("later", 1).items.remove(0);
+        item.reward = reward;
+        let result = state.jobs.finished(Some("mint"), &item, 1);
+        result.and_then(|it| it.score.clone())
+    };
+    assert_eq!(found(Some(reward("score-1"))).as_deref(), Some("stamp"));
+    assert_eq!(found(Some(reward("score-2"))), None);
+    assert_eq!(found(None), None);
+}
+
 #[test]
 fn the_first_counts_of_a_closed_window_are_kept() {
     let mut state = ServiceState::default();
@@ -173,6 +215,7 @@
 
 #[rstest]
 #[case(submit("j", 3))]
+#[case(submit_scored("j"))]
 #[case(plan(2, "{\"version\":2}"))]
 #[case(StateCommand::List(vec![("j".to_owned(), result(0, "a")), ("j".to_owned(), result(1, ""))]))]
 #[case(StateCommand::Evacuate("a".to_owned()))]
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -11,6 +11,8 @@
 use crate::support::StubTarget;
 use crate::support::TestDialect;
 use crate::support::view;
+use bergamotlane_service::choice::ChoiceQuery;
+use bergamotlane_service::choice::TargetChooser;
 use bergamotlane_service::forward::Forwarder;
 use bergamotlane_service::forward::PlainOutcome;
 use bergamotlane_service::forward::PlainRequest;
@@ -31,28 +33,52 @@
         latency_target_ms: 300,
         limit: now() + limit_ms,
         cold_pause_ms: None,
+        reserved_slots: None,
     }
 }
 
-/// Forwards one request with a stub target for each behaviour. Targets of equal cost are tried
-/// in the order of their IDs, so `behaviours` lists them in the order of the attempts. Returns
-/// the outcome as text and the number of requests that reached the targets.
+/// Returns the IDs of `count` equal targets in the order in which an instance tries them.
+fn tried_order(count: usize) -> Vec<String> {
+    let mut chooser = TargetChooser::new("entry", "a");
+    let address = "127.0.0.1:1".parse().unwrap();
+    let views: Vec<_> = (0..count)
+        .map(|index| view(&format!("t{index}"), address))
+        .collect();
+    chooser.update(now(), &views);
+    let mut tried = Vec::new();
+    for _ in 0..count {
+        let query = ChoiceQuery {
+            service: "desk",
+            tried: &tried,
+            cold_pause_ms: None,
+            reserved_slots: None,
+        };
+        let target = chooser.choose(now(), query).unwrap();
+        tried.push(target.announcement.id);
+    }
+    tried
+}
+
+/// Forwards one request with a stub target for each behaviour, which `behaviours` lists in the
+/// order of the attempts. Returns the outcome as text and the number of requests that reached the
+/// targets.
 async fn forward_one(
     kind: RouteKind,
     behaviours: &[StubBehaviour],
     limit_ms: u64,
 ) -> (String, u32) {
-    let forwarder = Forwarder::new(TestDialect, "a", 5_000);
+    let forwarder = Forwarder::new(TestDialect, "entry", "a", 5_000);
     let mut stubs = Vec::new();
     let mut views = Vec::new();
-    for (index, behaviour) in behaviours.iter().enumerate() {
+    let ids = tried_order(behaviours.len());
+    for (id, behaviour) in ids.iter().zip(behaviours) {
         let stub = StubTarget::start(*behaviour).await;
-        views.push(view(&format!("t{index}"), stub.address));
+        views.push(view(id, stub.address));
         stubs.push(stub);
     }
     forwarder.chooser().update(now(), &views);
-    let outcome = forwarder.forward(&request(kind, limit_ms)).await;
-    let text = match outcome {
+    let report = forwarder.forward(&request(kind, limit_ms)).await;
+    let text = match report.outcome {
         PlainOutcome::Answered(answer) => {
             format!(
                 "{} {}",
@@ -124,7 +150,7 @@
 
 #[tokio::test]
 async fn leftover_bytes_on_a_connection_never_answer_another_request() {
-    let forwarder = Forwarder::new(TestDialect, "a", 5_000);
+    let forwarder = Forwarder::new(TestDialect, "entry", "a", 5_000);
     let stub = StubTarget::start(StubBehaviour::AnswersTwice).await;
     forwarder
         .chooser()
@@ -132,7 +158,7 @@
     for number in 0..20_u64 {
         let mut request = request(RouteKind::Safe, 3_000);
         request.id = format!("r{number}");
-        match forwarder.forward(&request).await {
+        match forwarder.forward(&request).await.outcome {
             PlainOutcome::Answered(answer) => {
                 assert_eq!(answer.headers["x-id"], request.id.as_str());
             }
@@ -144,7 +170,7 @@
 
 #[tokio::test]
 async fn each_request_that_ran_is_counted_once_and_refused_ones_are_not() {
-    let forwarder = Forwarder::new(TestDialect, "a", u64::MAX);
+    let forwarder = Forwarder::new(TestDialect, "entry", "a", u64::MAX);
     let slow = StubTarget::start(StubBehaviour::Slow(400)).await;
     let refusing = StubTarget::start(StubBehaviour::Refuses).await;
     let views = [view("s", slow.address), view("w", refusing.address)];
--- a/crates/service/tests/targets/support.rs
+++ b/crates/service/tests/targets/support.rs
@@ -52,7 +52,7 @@
         let text = |name: &str| Some(headers.get(name)?.to_str().ok()?.to_owned());
         AnswerMetadata {
             request_id: text("x-id"),
-            is_stamped: headers.contains_key("x-stamp"),
+            stamp: text("x-stamp"),
             not_run: headers.contains_key("x-not-run"),
             version: text("x-version").and_then(|version| version.parse().ok()),
         }
--- a/crates/service/tests/texts.rs
+++ b/crates/service/tests/texts.rs
@@ -26,6 +26,7 @@
             .collect(),
         last_id: events.checked_sub(1),
         versions: versions.to_vec(),
+        is_complete: false,
     }
 }
 
@@ -34,6 +35,18 @@
     TextDelta::since(&key("i"), run, sent, text).unwrap()
 }
 
+/// Guards against a new leader that runs an item again although its text is complete.
+#[test]
+fn a_delta_without_events_marks_a_text_as_complete() {
+    let mut store = TextStore::default();
+    let mut whole = text(3, &[4]);
+    store.apply_delta(START, delta(1, 0, &whole));
+    assert_eq!(TextDelta::since(&key("i"), 1, 3, &whole), None);
+    whole.is_complete = true;
+    store.apply_delta(START, delta(1, 3, &whole));
+    assert_eq!(store.get(&key("i"), 4), Some(&whole));
+}
+
 #[test]
 fn deltas_of_one_run_add_up_to_its_text() {
     let mut store = TextStore::default();
