Send changes of targets instead of all of them, and commit which targets leave

Cause: any change of one target sent all targets to every linked process, and a weight version that was assumed loaded sent them to all keepers: on the large deployment some 20 times a second 25 KB to 45 keepers. Entries also got the engines of rollout services, which no caller's request goes to.

Change: the registry records which targets changed; a link gets the whole view when it comes up and changes afterwards, collected for 60 ms unless a target leaves. Entries get only the targets of services that callers' requests may go to. That a target drains or is gone is a replicated change and is confirmed once committed, so every later leader knows it. Keepers ignore targets in views of an earlier term.

Tests: every change of a target is reported once; a leaving target is known to the next leader; leaving targets in the state.

--- a/crates/service/src/choice.rs
+++ b/crates/service/src/choice.rs
@@ -126,6 +126,17 @@
         self.registry = registry;
     }
 
+    /// Applies the changes of the targets since the leader's last view.
+    pub fn apply_changes(&mut self, now: ClockTime, changed: &[TargetView], removed: &[String]) {
+        self.registry.restore(now, changed);
+        for id in removed {
+            self.registry.remove(id);
+            if self.loads.get(id).is_some_and(|it| it.outstanding == 0) {
+                self.loads.remove(id);
+            }
+        }
+    }
+
     /// Replaces the set of evacuated zones, whose targets get no requests.
     pub fn set_evacuated(&mut self, zones: Vec<String>) {
         self.evacuated = zones;
--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -316,6 +316,7 @@
             spdlog::debug!("view: targets", kv: { count = targets.len(), term = view.term });
             chooser.update(time, &targets);
         }
+        chooser.apply_changes(time, &view.changed, &view.removed);
         drop(chooser);
         if let Some(keepers) = view.keepers {
             self.keepers = keepers;
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -57,8 +57,12 @@
     pub plan: Option<RoutingPlan>,
     /// Evacuated zones.
     pub evacuated: Option<Vec<String>>,
-    /// All known targets.
+    /// All targets that the receiver needs; `None` if it has them up to the changes below.
     pub targets: Option<Vec<TargetView>>,
+    /// Targets that are new or changed since the last view.
+    pub changed: Vec<TargetView>,
+    /// IDs of targets that are gone since the last view.
+    pub removed: Vec<String>,
     /// Link addresses of all keepers.
     pub keepers: Option<BTreeSet<SocketAddr>>,
     /// Number of live entries, which share the rate of requests to a cold target.
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -38,7 +38,7 @@
             LeaderCall::Change(command) => self.handle_change(&command, origin),
             LeaderCall::EndJob { job, customer } => self.end_job(job, customer.as_deref(), origin),
             LeaderCall::Announce(announcement) => self.announce(announcement, origin),
-            LeaderCall::Depart(id) => self.depart(&id, origin),
+            LeaderCall::Depart(id) => self.depart(id, origin),
             LeaderCall::ReadPlan => {
                 let reply = match &self.state.plan {
                     Some(record) => LeaderReply::Document(record.document.clone()),
@@ -120,36 +120,52 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
+        let (id, born) = (announcement.id.clone(), announcement.born);
+        let draining = announcement.is_draining;
         if has_service {
-            let id = announcement.id.clone();
-            let draining = announcement.is_draining;
             let effect = lead.registry.announce(now(), announcement);
             match effect {
                 AnnouncementEffect::Changed => {
                     spdlog::info!("target: changed", kv: { target = id.as_str(), draining });
-                    lead.changes.targets = true;
                 }
-                AnnouncementEffect::Versions => lead.changes.versions = true,
-                AnnouncementEffect::Ignored | AnnouncementEffect::Refreshed => {}
+                AnnouncementEffect::Versions
+                | AnnouncementEffect::Ignored
+                | AnnouncementEffect::Refreshed => {}
             }
             if draining {
                 self.push_views();
             }
         }
+        if has_service && draining {
+            self.confirm_leaving(id, born, false, origin);
+            return;
+        }
         let control = Some(self.settings.control);
         self.reply(origin, LeaderReply::Announced(control));
     }
 
-    fn depart(&mut self, id: &str, origin: CallOrigin) {
+    /// Confirms that a target leaves once every later leader will know it.
+    fn confirm_leaving(&mut self, id: String, born: u64, departed: bool, origin: CallOrigin) {
+        if self.state.is_leaving(&id, born, departed) {
+            self.reply(origin, LeaderReply::Done);
+            return;
+        }
+        let command = StateCommand::LeaveTarget { id, born, departed };
+        self.propose(&command, origin);
+    }
+
+    fn depart(&mut self, id: String, origin: CallOrigin) {
         let Some(lead) = &mut self.lead else {
             return;
         };
-        if lead.registry.depart(now(), id) {
-            spdlog::info!("target: left", kv: { target = id });
-            lead.changes.targets = true;
-            self.push_views();
-        }
-        self.reply(origin, LeaderReply::Done);
+        let Some(born) = lead.registry.get(&id).map(|it| it.announcement.born) else {
+            self.reply(origin, LeaderReply::Done);
+            return;
+        };
+        lead.registry.depart(now(), &id);
+        spdlog::info!("target: left", kv: { target = id.as_str() });
+        self.push_views();
+        self.confirm_leaving(id, born, true, origin);
     }
 
     /// Returns the results of a job from a position on; without any, the reply waits for the first.
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -127,7 +127,9 @@
     /// State of this keeper's leadership, while it is elected.
     pub(super) lead: Option<LeaderState>,
     /// Last known targets, which a new leader starts from.
-    pub(super) last_targets: Vec<TargetView>,
+    pub(super) last_targets: BTreeMap<String, TargetView>,
+    /// Term of the leader whose view was received last.
+    pub(super) view_term: u64,
     /// Time at which the last known targets must be saved, if they changed.
     pub(super) targets_due: Option<ClockTime>,
     pub(super) tally: UsageTally,
@@ -191,6 +193,7 @@
             leader: None,
             lead: None,
             last_targets,
+            view_term: 0,
             targets_due: None,
             tally: UsageTally::default(),
             texts: TextStore::default(),
@@ -258,10 +261,10 @@
             LinkFrame::Consensus(message) => self.on_consensus(link, message),
             LinkFrame::Call { id, call } => self.handle_call(call, CallOrigin::Link(link, id)),
             LinkFrame::Reply { id, reply } => self.calls.answer(id, reply),
-            LinkFrame::View(view) => {
-                if let Some(targets) = view.targets {
-                    self.last_targets = targets;
-                    self.schedule_targets_save();
+            LinkFrame::View(mut view) => {
+                if view.term >= self.view_term {
+                    self.view_term = view.term;
+                    self.receive_targets(&mut view);
                 }
                 self.on_hint(
                     link,
--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -262,7 +262,6 @@
             let is_older = known.is_some_and(|it| it < version);
             if is_older && time.since(*at) >= LOAD_ASSUMED_AFTER_MS {
                 lead.registry.set_version(id, model, *version);
-                lead.changes.versions = true;
             }
         }
         lead.accepted_orders
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -10,13 +10,13 @@
 use super::core::CallOrigin;
 use super::core::KeeperCore;
 use super::scoring::RewardHandle;
+use super::targets::by_id;
 use super::view::ViewChanges;
 use crate::dialect::TargetDialect;
 use crate::frames::LeadHint;
 use crate::frames::LeaderReply;
 use crate::frames::LinkFrame;
 use crate::jobs::ItemResult;
-use crate::link::LinkId;
 use crate::metrics::METRICS;
 use crate::registry::TargetRegistry;
 use crate::run::RunProgress;
@@ -96,8 +96,8 @@
     pub(super) waiters: Vec<ResultWaiter>,
     /// Parts of the view that changed since it was last sent.
     pub(super) changes: ViewChanges,
-    /// Links that were sent a full view.
-    pub(super) full_view_links: BTreeSet<LinkId>,
+    /// Services whose targets entries were sent.
+    pub(super) sent_services: BTreeSet<String>,
     /// Number of the next usage window to close.
     pub(super) next_window: u64,
     /// Usage window whose report is in progress.
@@ -106,6 +106,8 @@
     pub(super) report_after: ClockTime,
     /// Last weight order that each engine accepted: model, version and time of the answer.
     pub(super) accepted_orders: BTreeMap<String, (String, u64, ClockTime)>,
+    /// Time from which changes of the targets are sent again.
+    pub(super) views_due: ClockTime,
     duties_due: ClockTime,
     weights_due: ClockTime,
     pace_due: ClockTime,
@@ -137,7 +139,7 @@
             lost_after_ms: VOTER_LOST_MS,
         };
         let mut registry = TargetRegistry::default();
-        registry.restore(time, &self.last_targets);
+        registry.restore(time, self.last_targets.values());
         let window = unix_ms() / self.settings.usage_window_ms.max(1);
         let closed = self.state.windows.keys().next_back().map(|it| it + 1);
         self.lead = Some(LeaderState {
@@ -153,11 +155,12 @@
             results: Vec::new(),
             waiters: Vec::new(),
             changes: ViewChanges::default(),
-            full_view_links: BTreeSet::new(),
+            sent_services: BTreeSet::new(),
             next_window: closed.unwrap_or(window),
             reporting: None,
             report_after: time,
             accepted_orders: BTreeMap::new(),
+            views_due: time,
             duties_due: time,
             weights_due: time,
             pace_due: time,
@@ -173,7 +176,7 @@
         let Some(lead) = self.lead.take() else {
             return;
         };
-        self.last_targets = lead.registry.views(now());
+        self.last_targets = by_id(lead.registry.views(now()));
         for waiter in lead.waiters {
             self.reply(waiter.origin, LeaderReply::NotLeader);
         }
@@ -279,9 +282,7 @@
         let Some(lead) = &mut self.lead else {
             return;
         };
-        if lead.registry.expire(time) {
-            lead.changes.targets = true;
-        }
+        lead.registry.expire(time);
         if time >= lead.duties_due {
             lead.duties_due = time + DUTY_INTERVAL_MS;
             self.repair_group(time);
@@ -291,7 +292,9 @@
         self.assign_items(time);
         self.make_reward_calls(time);
         self.order_weights_if_due(time);
-        self.push_views();
+        if self.lead.as_ref().is_some_and(|it| time >= it.views_due) {
+            self.push_views();
+        }
         self.answer_waiters(None);
         self.flush_results();
         self.check_run_paces(time);
@@ -324,7 +327,6 @@
         lead.scores = ScoreQueue::default();
         lead.reward_calls.clear();
         lead.results.clear();
-        lead.full_view_links.clear();
         let term = lead.term;
         let waiters = std::mem::take(&mut lead.waiters);
         for waiter in waiters {
@@ -341,6 +343,7 @@
         lead.active = true;
         lead.changes = ViewChanges::all();
         let term = lead.term;
+        self.mark_leaving_targets();
         self.hub.set_hint(LeadHint { leads: true, term });
         spdlog::info!("lead: begun", kv: { term, jobs = self.state.jobs.iter().count() });
         let open: Vec<String> = self
@@ -355,6 +358,17 @@
         }
     }
 
+    /// Applies to the registry which targets have left or drain, as committed under any leader.
+    fn mark_leaving_targets(&mut self) {
+        let time = now();
+        if let Some(lead) = &mut self.lead {
+            for (id, leaving) in &self.state.leaving {
+                let departed = leaving.departed;
+                lead.registry.mark_leaving(time, id, leaving.born, departed);
+            }
+        }
+    }
+
     /// Updates gauges and the observed paces of engines, and stops runs on engines that have become
     /// slow so that other engines resume them.
     fn check_run_paces(&mut self, time: ClockTime) {
--- a/crates/service/src/keeper/view.rs
+++ b/crates/service/src/keeper/view.rs
@@ -1,4 +1,8 @@
 //! Views: the plan, zones, targets and keepers that the leader sends to entries and other keepers.
+//!
+//! A process gets the whole view when its link comes up, and then only what changes. Entries get
+//! the targets of services that callers' requests may go to; keepers get all of them, so that the
+//! next leader knows them.
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
@@ -8,28 +12,32 @@
 use crate::frames::LinkFrame;
 use crate::frames::ViewFrame;
 use crate::link::LinkId;
+use crate::plan::RouteKind;
+use crate::registry::RegistryChanges;
+use crate::registry::TargetEntry;
+use crate::registry::TargetView;
 use bergamotlane_storage::clock::now;
 use bergamotlane_wire::codec;
 
-/// Parts of the view that changed since it was last sent.
+/// Time for which changes of the targets are collected before they are sent, in milliseconds.
+const VIEW_INTERVAL_MS: u64 = 60;
+
+/// Parts of the view that changed since it was last sent, other than single targets.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub(super) struct ViewChanges {
     pub(super) plan: bool,
     pub(super) zones: bool,
-    pub(super) targets: bool,
-    /// Only weight versions of targets; entries don't need these, so keepers alone are sent them.
-    pub(super) versions: bool,
+    pub(super) all_targets: bool,
     pub(super) keepers: bool,
 }
 
 impl ViewChanges {
-    /// Returns all parts that a full view has; its targets include their weight versions.
+    /// Returns all parts that a full view has.
     pub(super) fn all() -> Self {
         Self {
             plan: true,
             zones: true,
-            targets: true,
-            versions: false,
+            all_targets: true,
             keepers: true,
         }
     }
@@ -39,6 +47,13 @@
     }
 }
 
+/// Kind of process that receives a view.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ViewReceiver {
+    Entry,
+    Keeper,
+}
+
 impl<D: TargetDialect> KeeperCore<D> {
     /// Returns the number of linked entries.
     pub(super) fn entry_count(&self) -> u32 {
@@ -60,27 +75,66 @@
         members.chain(linked).chain([self.settings.link]).collect()
     }
 
+    /// Returns the names of the services that callers' requests may go to.
+    fn caller_services(&self) -> BTreeSet<String> {
+        let routes = self.state.plan.iter().flat_map(|it| &it.plan.routes);
+        let plain = routes.filter(|it| it.kind != RouteKind::Rollout);
+        plain
+            .flat_map(|it| it.shares.iter().map(|share| share.service.clone()))
+            .collect()
+    }
+
     /// Returns a view with the changed parts that the receiver needs, or `None` if it needs none.
-    fn build_view(&self, changes: ViewChanges, for_keeper: bool) -> Option<ViewFrame> {
+    fn build_view(
+        &self,
+        changes: ViewChanges,
+        targets: &RegistryChanges,
+        receiver: ViewReceiver,
+    ) -> Option<ViewFrame> {
         let lead = self.lead.as_ref()?;
-        let targets = changes.targets || (for_keeper && changes.versions);
+        let time = now();
+        let for_entry = receiver == ViewReceiver::Entry;
+        let services = self.caller_services();
+        let is_needed =
+            |entry: &TargetEntry| !for_entry || services.contains(&entry.announcement.service);
+        let all_targets = || -> Vec<TargetView> {
+            let entries = lead.registry.iter().map(|(_, entry)| entry);
+            entries
+                .filter(|it| is_needed(it))
+                .map(|it| it.view(time))
+                .collect()
+        };
+        let versions = targets.versions.iter().filter(|_| !for_entry);
+        let ids = targets.routing.iter().chain(versions);
+        let (mut changed, mut removed) = (Vec::new(), Vec::new());
+        for id in ids.filter(|_| !changes.all_targets) {
+            match lead.registry.get(id) {
+                Some(entry) if is_needed(entry) => changed.push(entry.view(time)),
+                Some(_) => {}
+                None => removed.push(id.clone()),
+            }
+        }
         let plan = self
             .state
             .plan
             .as_ref()
-            .filter(|_| changes.plan && !for_keeper);
+            .filter(|_| changes.plan && for_entry);
         let view = ViewFrame {
             term: lead.term,
             plan: plan.map(|it| it.plan.clone()),
-            evacuated: (changes.zones && !for_keeper)
+            evacuated: (changes.zones && for_entry)
                 .then(|| self.state.evacuated.iter().cloned().collect()),
-            targets: targets.then(|| lead.registry.views(now())),
+            targets: changes.all_targets.then(all_targets),
+            changed,
+            removed,
             keepers: changes.keepers.then(|| self.keeper_addresses()),
             entries: self.entry_count(),
         };
         let has_content = view.plan.is_some()
             || view.evacuated.is_some()
             || view.targets.is_some()
+            || !view.changed.is_empty()
+            || !view.removed.is_empty()
             || view.keepers.is_some();
         has_content.then_some(view)
     }
@@ -97,12 +151,14 @@
         if *dialled {
             return;
         }
-        if let Some(view) = self.build_view(ViewChanges::all(), hello.node.is_some()) {
+        let receiver = match hello.node {
+            Some(_) => ViewReceiver::Keeper,
+            None => ViewReceiver::Entry,
+        };
+        let none = RegistryChanges::default();
+        if let Some(view) = self.build_view(ViewChanges::all(), &none, receiver) {
             self.hub.send(link, &LinkFrame::View(Box::new(view)));
         }
-        if let Some(lead) = &mut self.lead {
-            lead.full_view_links.insert(link);
-        }
     }
 
     /// Sends the changed parts of the view to all linked processes.
@@ -110,27 +166,37 @@
         if !self.is_confirmed_leader() {
             return;
         }
+        let time = now();
+        let services = self.caller_services();
         let Some(lead) = &mut self.lead else {
             return;
         };
-        let changes = std::mem::take(&mut lead.changes);
-        if changes.is_empty() {
+        lead.views_due = time + VIEW_INTERVAL_MS;
+        let mut changes = std::mem::take(&mut lead.changes);
+        // A plan may lead callers to targets that entries have not been sent before.
+        if lead.sent_services != services {
+            changes.all_targets = true;
+            lead.sent_services = services;
+        }
+        let targets = lead.registry.take_changes();
+        if changes.is_empty() && targets.is_empty() {
             return;
         }
-        if changes.targets {
-            let has_scores = !lead.scores.is_empty();
+        let has_scores = !lead.scores.is_empty();
+        if changes.all_targets || !targets.routing.is_empty() {
             self.schedule_targets_save();
             if has_scores {
-                self.update_chooser(now());
+                self.update_chooser(time);
             }
         }
-        for for_keeper in [false, true] {
-            let Some(view) = self.build_view(changes, for_keeper) else {
+        for receiver in [ViewReceiver::Entry, ViewReceiver::Keeper] {
+            let Some(view) = self.build_view(changes, &targets, receiver) else {
                 continue;
             };
             let frame = codec::encode(&LinkFrame::View(Box::new(view)));
             for (link, (hello, dialled)) in &self.links {
-                if !dialled && hello.node.is_some() == for_keeper {
+                let is_keeper = hello.node.is_some();
+                if !dialled && is_keeper == (receiver == ViewReceiver::Keeper) {
                     self.hub.send_encoded(*link, frame.clone());
                 }
             }
--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -1,6 +1,7 @@
 //! Registry of the targets, which register and refresh themselves by announcements.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -87,6 +88,17 @@
     pub fn is_cold(&self, now: ClockTime) -> bool {
         now < self.cold_until
     }
+
+    /// Returns the view of the target to send to other processes.
+    pub fn view(&self, now: ClockTime) -> TargetView {
+        TargetView {
+            announcement: TargetAnnouncement {
+                cold_left_ms: self.cold_until.since(now),
+                ..self.announcement.clone()
+            },
+            stage: self.stage,
+        }
+    }
 }
 
 /// Effect of an announcement on the registry.
@@ -103,17 +115,34 @@
     Changed,
 }
 
+/// IDs of the targets that changed since the changes were last taken, those that are gone included.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct RegistryChanges {
+    /// Targets with changes that matter for routing.
+    pub routing: BTreeSet<String>,
+    /// Targets of which only weight versions changed.
+    pub versions: BTreeSet<String>,
+}
+
+impl RegistryChanges {
+    /// Returns whether nothing changed.
+    pub fn is_empty(&self) -> bool {
+        self.routing.is_empty() && self.versions.is_empty()
+    }
+}
+
 /// Known targets by ID, and recently departed ones.
 #[derive(Debug, Default)]
 pub struct TargetRegistry {
     entries: BTreeMap<String, TargetEntry>,
+    changes: RegistryChanges,
     /// Start time of each departed target, and when it departed.
     departed: BTreeMap<String, (u64, ClockTime)>,
 }
 
 impl TargetRegistry {
-    /// Adds the targets of an earlier leader's view, as unconfirmed.
-    pub fn restore(&mut self, now: ClockTime, views: &[TargetView]) {
+    /// Adds or replaces targets by those of a leader's view, as unconfirmed. Not recorded as changes.
+    pub fn restore<'a>(&mut self, now: ClockTime, views: impl IntoIterator<Item = &'a TargetView>) {
         for view in views {
             let entry = TargetEntry {
                 announcement: view.announcement.clone(),
@@ -138,14 +167,35 @@
 
     /// Returns the views of all targets to send to other processes.
     pub fn views(&self, now: ClockTime) -> Vec<TargetView> {
-        let view = |entry: &TargetEntry| TargetView {
-            announcement: TargetAnnouncement {
-                cold_left_ms: entry.cold_until.since(now),
-                ..entry.announcement.clone()
-            },
-            stage: entry.stage,
+        self.entries.values().map(|it| it.view(now)).collect()
+    }
+
+    /// Returns the changes since this method was last called.
+    pub fn take_changes(&mut self) -> RegistryChanges {
+        std::mem::take(&mut self.changes)
+    }
+
+    /// Removes a target that another process reports as gone.
+    pub fn remove(&mut self, id: &str) {
+        self.entries.remove(id);
+    }
+
+    /// Applies what is known of a leaving target from an earlier leader: the target started at
+    /// `born`, drains and, if `departed` is set, is gone.
+    pub fn mark_leaving(&mut self, now: ClockTime, id: &str, born: u64, departed: bool) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
         };
-        self.entries.values().map(view).collect()
+        if entry.announcement.born > born {
+            return;
+        }
+        if departed {
+            self.depart(now, id);
+            return;
+        }
+        entry.stage = TargetStage::Draining;
+        entry.announcement.is_draining = true;
+        self.changes.routing.insert(id.to_owned());
     }
 
     /// Applies an announcement and returns its effect.
@@ -158,9 +208,11 @@
             return AnnouncementEffect::Ignored;
         }
         // If a newer target announces itself at an address, the older one there no longer runs.
-        self.entries.retain(|id, entry| {
-            *id == announcement.id || entry.announcement.address != announcement.address
+        let replaced = self.entries.extract_if(.., |id, entry| {
+            *id != announcement.id && entry.announcement.address == announcement.address
         });
+        let replaced: Vec<String> = replaced.map(|(id, _)| id).collect();
+        self.changes.routing.extend(replaced);
         let stage = match announcement.is_draining {
             true => TargetStage::Draining,
             false => TargetStage::Ready,
@@ -170,6 +222,15 @@
             Some(old) => effect_of(old, &announcement, stage, now),
             None => AnnouncementEffect::Changed,
         };
+        match effect {
+            AnnouncementEffect::Changed => {
+                self.changes.routing.insert(announcement.id.clone());
+            }
+            AnnouncementEffect::Versions => {
+                self.changes.versions.insert(announcement.id.clone());
+            }
+            AnnouncementEffect::Ignored | AnnouncementEffect::Refreshed => {}
+        }
         let entry = TargetEntry {
             stage,
             cold_until,
@@ -210,33 +271,39 @@
         };
         self.departed
             .insert(id.to_owned(), (entry.announcement.born, now));
+        self.changes.routing.insert(id.to_owned());
         true
     }
 
     /// Sets the weight version of a model on a target, as observed in one of its answers.
     pub fn set_version(&mut self, id: &str, model: &str, version: u64) {
         if let Some(entry) = self.entries.get_mut(id) {
-            entry.announcement.models.insert(model.to_owned(), version);
+            let old = entry.announcement.models.insert(model.to_owned(), version);
+            if old != Some(version) {
+                self.changes.versions.insert(id.to_owned());
+            }
         }
     }
 
     /// Marks targets without recent announcements as silent, and removes them later. Returns
     /// whether a target was removed or changed its stage.
     pub fn expire(&mut self, now: ClockTime) -> bool {
-        let count = self.entries.len();
-        self.entries
-            .retain(|_, entry| now.since(entry.announced_at) < REMOVED_AFTER_MS);
+        let expired = self.entries.extract_if(.., |_, entry| {
+            now.since(entry.announced_at) >= REMOVED_AFTER_MS
+        });
+        let mut changed: Vec<String> = expired.map(|(id, _)| id).collect();
         self.departed
             .retain(|_, (_, at)| now.since(*at) < DEPARTED_RETENTION_MS);
-        let mut changed = self.entries.len() != count;
-        for entry in self.entries.values_mut() {
+        for (id, entry) in &mut self.entries {
             let silent = now.since(entry.announced_at) >= SILENT_AFTER_MS;
             if silent && entry.stage == TargetStage::Ready {
                 entry.stage = TargetStage::Silent;
-                changed = true;
+                changed.push(id.clone());
             }
         }
-        changed
+        let has_changed = !changed.is_empty();
+        self.changes.routing.extend(changed);
+        has_changed
     }
 }
 
--- a/crates/service/src/state.rs
+++ b/crates/service/src/state.rs
@@ -20,6 +20,9 @@
 /// Number of closed usage windows that the state retains.
 const MAX_CLOSED_WINDOWS: usize = 64;
 
+/// Number of leaving targets that the state retains.
+const MAX_LEAVING_TARGETS: usize = 1_024;
+
 /// Command that changes the replicated state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum StateCommand {
@@ -61,6 +64,26 @@
     WindowReported(u64),
     /// Marks the instance of this name as one to be drained.
     Retire(String),
+    /// Records that a target drains or is gone, so that every later leader knows it.
+    LeaveTarget {
+        /// ID of the target.
+        id: String,
+        /// Start time of the target's process, in milliseconds since 1970.
+        born: u64,
+        /// Whether the target is gone; otherwise it drains.
+        departed: bool,
+    },
+}
+
+/// Target that drains or is gone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingTarget {
+    /// Start time of the target's process, in milliseconds since 1970.
+    pub born: u64,
+    /// Whether the target is gone; otherwise it drains.
+    pub departed: bool,
+    /// Index of the log entry that recorded it last.
+    pub index: u64,
 }
 
 /// Closed usage window.
@@ -99,6 +122,9 @@
     pub windows: BTreeMap<u64, WindowRecord>,
     /// Names of the instances to be drained.
     pub retiring: BTreeSet<String>,
+    /// Targets that drain or are gone by ID, the latest ones only.
+    #[serde(default)]
+    pub leaving: BTreeMap<String, LeavingTarget>,
 }
 
 impl ServiceState {
@@ -153,6 +179,34 @@
             StateCommand::Retire(instance) => {
                 self.retiring.insert(instance);
             }
+            StateCommand::LeaveTarget { id, born, departed } => {
+                self.record_leaving(index, id, born, departed);
+            }
+        }
+    }
+
+    /// Returns whether the state records that a target leaves, at least in the given way.
+    pub fn is_leaving(&self, id: &str, born: u64, departed: bool) -> bool {
+        let known = self.leaving.get(id);
+        known.is_some_and(|it| it.born > born || (it.born == born && it.departed >= departed))
+    }
+
+    fn record_leaving(&mut self, index: u64, id: String, born: u64, departed: bool) {
+        if self.is_leaving(&id, born, departed) {
+            return;
+        }
+        let target = LeavingTarget {
+            born,
+            departed,
+            index,
+        };
+        self.leaving.insert(id, target);
+        while self.leaving.len() > MAX_LEAVING_TARGETS {
+            let oldest = self.leaving.iter().min_by_key(|(_, it)| it.index);
+            let Some(id) = oldest.map(|(id, _)| id.clone()) else {
+                return;
+            };
+            self.leaving.remove(&id);
         }
     }
 
--- a/crates/service/tests/registry.rs
+++ b/crates/service/tests/registry.rs
@@ -97,6 +97,52 @@
     assert!(!next.get("x").unwrap().is_unconfirmed);
 }
 
+/// Guards against changes that a receiver of deltas misses: a target that is replaced at its
+/// address, expires or departs must be reported like a new one.
+#[test]
+fn every_change_of_a_target_is_reported_once() {
+    let mut registry = TargetRegistry::default();
+    registry.announce(START, announcement("x", 10, 5));
+    assert_eq!(routing(&mut registry), ["x"]);
+    registry.announce(START + 10, announcement("x", 10, 6));
+    assert!(registry.take_changes().is_empty());
+    registry.announce(START + 20, announcement("y", 12, 1));
+    assert_eq!(routing(&mut registry), ["x", "y"]);
+    registry.set_version("y", "m", 2);
+    registry.set_version("y", "m", 2);
+    let changes = registry.take_changes();
+    assert_eq!(changes.versions.len(), 1);
+    assert!(changes.routing.is_empty());
+    registry.expire(START + 5_000);
+    assert_eq!(routing(&mut registry), ["y"]);
+    registry.depart(START + 5_010, "y");
+    assert_eq!(routing(&mut registry), ["y"]);
+}
+
+fn routing(registry: &mut TargetRegistry) -> Vec<String> {
+    registry.take_changes().routing.into_iter().collect()
+}
+
+/// Guards against a new leader that sends requests to a target whose leaving the previous leader
+/// has confirmed, known to the new one from an older view.
+#[rstest]
+#[case::drains(10, false, Some(TargetStage::Draining))]
+#[case::gone(10, true, None)]
+#[case::drained_before_a_restart(9, false, Some(TargetStage::Ready))]
+#[case::gone_before_a_restart(9, true, Some(TargetStage::Ready))]
+fn a_leaving_target_is_known_to_the_next_leader(
+    #[case] born: u64,
+    #[case] departed: bool,
+    #[case] expected: Option<TargetStage>,
+) {
+    let mut earlier = TargetRegistry::default();
+    earlier.announce(START, announcement("x", 10, 5));
+    let mut registry = TargetRegistry::default();
+    registry.restore(START, &earlier.views(START));
+    registry.mark_leaving(START, "x", born, departed);
+    assert_eq!(registry.get("x").map(|it| it.stage), expected);
+}
+
 #[test]
 fn a_view_carries_the_remaining_cold_time() {
     let mut registry = TargetRegistry::default();
--- a/crates/service/tests/state.rs
+++ b/crates/service/tests/state.rs
@@ -213,6 +213,32 @@
     assert_eq!(tally.total(3)["mint"], 4);
 }
 
+#[test]
+fn a_leaving_target_is_recorded_for_its_latest_start() {
+    let mut state = ServiceState::default();
+    let leave = |born, departed| StateCommand::LeaveTarget {
+        id: "x".to_owned(),
+        born,
+        departed,
+    };
+    state.apply(1, leave(10, false));
+    assert!(state.is_leaving("x", 10, false) && !state.is_leaving("x", 10, true));
+    assert!(!state.is_leaving("x", 11, false));
+    state.apply(2, leave(10, true));
+    state.apply(3, leave(9, false));
+    assert!(state.is_leaving("x", 10, true));
+    for number in 0..2_000 {
+        let id = format!("t{number}");
+        let leave = StateCommand::LeaveTarget {
+            id,
+            born: 1,
+            departed: true,
+        };
+        state.apply(4 + number, leave);
+    }
+    assert!(state.leaving.len() <= 1_024 && state.is_leaving("t1999", 1, true));
+}
+
 #[rstest]
 #[case(submit("j", 3))]
 #[case(submit_scored("j"))]
