Keep duty holders from acting in turns, and end their calls with the lease

And a report or order that was under way when the lease ended could still leave the send buffer after the next leader had acted.

Change: an instance remembers when it last acted on each engine and on usage, and in a later term waits for the turn time (turns.rs); a restarted one does so for everything where receivers don't check fences. An exchange is dropped without another step once the lease is over by a clock that counts freezes (lease_watch.rs), and its connection is reset.

Ruled out: making the successor wait as well; it would hold up weight orders at each change of leader, and two holders in a row are no conflict.

--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -13,7 +13,6 @@
 
 use super::KeeperEvent;
 use super::KeeperSettings;
-use super::LeaseWatch;
 use super::lead::LeaderState;
 use super::targets::load_targets;
 use crate::dialect::TargetDialect;
@@ -25,6 +24,7 @@
 use crate::leader_client::CallRequest;
 use crate::leader_client::CallResult;
 use crate::leader_client::PendingCalls;
+use crate::lease_watch::LeaseWatch;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::link::LinkId;
@@ -33,6 +33,7 @@
 use crate::registry::TargetView;
 use crate::state::ServiceState;
 use crate::texts::TextStore;
+use crate::turns::DutyTurns;
 use crate::usage::UsageTally;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::consensus::ConsensusConfig;
@@ -102,6 +103,7 @@
     /// Forwards reward calls.
     pub(super) forwarder: Arc<Forwarder<D>>,
     pub(super) lease: LeaseWatch,
+    pub(super) turns: DutyTurns,
     /// Consensus node and its data folder; `None` after storage failed.
     pub(super) voter: Option<DiskVoter>,
     /// Earliest time for the next attempt to open a failed data folder.
@@ -165,6 +167,8 @@
     ) -> Self {
         let time = now();
         let last_targets = load_targets(&settings.data);
+        let forgets_actions = !settings.receivers_check_fences && !settings.may_bootstrap;
+        let turns = DutyTurns::new(time, settings.duty_turn_ms, forgets_actions);
         let mut core = Self {
             voter: Some(open_voter(folder.0, folder.1, time)),
             forwarder: Arc::new(Forwarder::new(
@@ -179,8 +183,9 @@
             hub,
             runtime,
             events,
-            pool: TargetPool::new(),
+            pool: TargetPool::resetting(),
             lease: LeaseWatch::default(),
+            turns,
             reopen_at: time,
             outputs: Vec::new(),
             state: ServiceState::default(),
--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -16,18 +16,19 @@
 use tokio::time::timeout;
 
 use super::KeeperEvent;
-use super::LeaseWatch;
 use super::core::CallOrigin;
 use super::core::KeeperCore;
 use super::lead::LeaderState;
 use crate::dialect::OrderHolder;
 use crate::dialect::OutboundCall;
 use crate::dialect::TargetDialect;
+use crate::lease_watch::LeaseWatch;
 use crate::metrics::METRICS;
 use crate::pool::SendError;
 use crate::pool::TargetPool;
 use crate::registry::TargetStage;
 use crate::state::StateCommand;
+use crate::turns::DutySubject;
 use crate::weights::OrderAnswer;
 use crate::weights::OrderReport;
 use crate::weights::WeightStep;
@@ -51,6 +52,10 @@
 /// Delay before a failed usage report is sent again, in milliseconds.
 const REPORT_RETRY_DELAY_MS: u64 = 700;
 
+/// Delay before a report is tried again that would come too soon after another holder's, in
+/// milliseconds.
+const TURN_RETRY_DELAY_MS: u64 = 100;
+
 /// Time for which an accepted weight order counts as the engine's version, so that it is not sent
 /// again, in milliseconds.
 const ACCEPTED_ORDER_RETENTION_MS: u64 = 3_000;
@@ -67,7 +72,8 @@
     Unclear,
 }
 
-/// Sends a duty's request, unless less than [`LEASE_MARGIN_MS`] of the lease is left.
+/// Sends a duty's request, unless less than [`LEASE_MARGIN_MS`] of the lease is left. At the end of
+/// the lease, the connection is reset, so that nothing that is still buffered reaches the receiver.
 async fn send_duty(
     pool: &Arc<TargetPool>,
     lease: &LeaseWatch,
@@ -96,10 +102,10 @@
         connection.keep();
         Ok::<_, SendError>((status, body))
     };
-    match timeout(DUTY_TIMEOUT, exchange).await {
-        Ok(Ok(answer)) => Ok(answer),
-        Ok(Err(SendError::Connect)) => Err(DutyFailure::NotSent),
-        Ok(Err(SendError::Broken(_))) | Err(_) => Err(DutyFailure::Unclear),
+    match timeout(DUTY_TIMEOUT, lease.guard(exchange)).await {
+        Ok(Some(Ok(answer))) => Ok(answer),
+        Ok(Some(Err(SendError::Connect))) => Err(DutyFailure::NotSent),
+        Ok(Some(Err(SendError::Broken(_))) | None) | Err(_) => Err(DutyFailure::Unclear),
     }
 }
 
@@ -202,6 +208,11 @@
             return;
         };
         let window = *window;
+        if !self.turns.may_act(time, &DutySubject::Usage, lead.term) {
+            lead.report_after = time + TURN_RETRY_DELAY_MS;
+            return;
+        }
+        self.turns.record(time, DutySubject::Usage, lead.term);
         lead.reporting = Some(window);
         let call = self.dialect.usage_report(&holder, window, &record.counts);
         let events = self.events.clone();
@@ -245,8 +256,27 @@
             .weights
             .next_steps(time, &targets, &self.state.weights, &min_versions);
         for step in steps {
-            self.execute_weight_step(step);
+            if self.take_turn(time, &step) {
+                self.execute_weight_step(step);
+            }
+        }
+    }
+
+    /// Records that this keeper acts on a step's engine, and returns true. If an order would come
+    /// too soon after another holder's, the planner is told that it was refused.
+    fn take_turn(&mut self, time: ClockTime, step: &WeightStep) -> bool {
+        let (WeightStep::Order { id, born, .. }, Some(lead)) = (step, &mut self.lead) else {
+            return true;
+        };
+        let subject = DutySubject::Engine(id.clone());
+        let may_act = self.turns.may_act(time, &subject, lead.term);
+        if may_act {
+            self.turns.record(time, subject, lead.term);
+        } else {
+            lead.weights
+                .record_answer(time, id, *born, OrderAnswer::Refused);
         }
+        may_act
     }
 
     /// Records the versions of accepted orders for engines whose load must be complete by now.
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -23,8 +23,6 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::thread;
 
 use tokio::runtime::Builder;
@@ -44,11 +42,9 @@
 use crate::weights::OrderReport;
 use crate::work::RunEnd;
 use crate::work::RunKey;
-use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::ident::NodeId;
 use bergamotlane_storage::DataFolder;
 use bergamotlane_storage::StorageError;
-use bergamotlane_storage::clock::now;
 
 /// Settings of a keeper, set by the process that starts it.
 #[derive(Debug, Clone)]
@@ -73,6 +69,11 @@
     pub usage_window_ms: u64,
     /// Time for which callers can read a job after its submission, in milliseconds.
     pub job_retention_ms: u64,
+    /// Time within which holders of a duty must not act in turns, in milliseconds.
+    pub duty_turn_ms: u64,
+    /// Whether receivers of orders and reports reject a lower fencing token themselves. If not, a
+    /// restarted keeper waits for the turn time before it acts.
+    pub receivers_check_fences: bool,
     /// Address of the platform's interface, which usage reports go to; if `None`, none are sent.
     pub platform: Option<SocketAddr>,
 }
@@ -120,21 +121,6 @@
     TransferLeadership(oneshot::Sender<()>),
 }
 
-/// End of the leader's lease, shared with tasks that check it right before they send an order.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct LeaseWatch(Arc<AtomicU64>);
-
-impl LeaseWatch {
-    pub(crate) fn set(&self, until: ClockTime) {
-        self.0.store(until.0, Ordering::Relaxed);
-    }
-
-    /// Returns whether the lease is still valid `millis` milliseconds from now.
-    pub(crate) fn covers(&self, millis: u64) -> bool {
-        now().0 + millis < self.0.load(Ordering::Relaxed)
-    }
-}
-
 /// Handle of a running keeper.
 #[derive(Debug, Clone)]
 pub struct KeeperHandle {
--- a/crates/service/src/pool.rs
+++ b/crates/service/src/pool.rs
@@ -2,6 +2,7 @@
 //! answer was read to the end.
 
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -93,6 +94,8 @@
 #[derive(Default)]
 pub struct TargetPool {
     idle: Mutex<HashMap<SocketAddr, Vec<IdleConnection>>>,
+    /// Whether connections are reset when they are dropped.
+    resets: bool,
 }
 
 impl TargetPool {
@@ -101,6 +104,15 @@
         Arc::default()
     }
 
+    /// Returns an empty pool whose connections are reset when they are dropped, so that a request
+    /// that is given up does not leave the send buffer later.
+    pub fn resetting() -> Arc<Self> {
+        Arc::new(Self {
+            resets: true,
+            ..Self::default()
+        })
+    }
+
     /// Drops connections that are closed or past their idle limit.
     pub fn prune(&self) {
         let time = now();
@@ -133,10 +145,7 @@
         let Ok(Ok(stream)) = stream else {
             return Err(SendError::Connect);
         };
-        let tuned = stream.set_nodelay(true).and_then(|()| {
-            socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
-        });
-        if tuned.is_err() {
+        if self.tune(&stream).is_err() {
             return Err(SendError::Connect);
         }
         let (sender, connection) = http1::handshake(TokioIo::new(stream)).await?;
@@ -145,6 +154,15 @@
         Ok(sender)
     }
 
+    fn tune(&self, stream: &TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let socket = socket2::SockRef::from(stream);
+        if self.resets {
+            socket.set_linger(Some(Duration::ZERO))?;
+        }
+        socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
+    }
+
     /// Sends a request and returns the head of its answer. An idle connection is used if there is
     /// one, else a new one.
     ///
