Link to the members of the group only, and check the leader's timers less often

The leader went through all targets, jobs and waiters after every event, and built the list of engines each time although the pace of runs is checked five times a second.

Change: a process links to the seeds and the members of the consensus group (directory.rs); while no leader is known it also tries four other keepers at a time, each instance in an order of its own. Entries and keepers share that directory. The leader's timers are checked at most every 4 ms, the engines of a pace check are listed only when it is due, and connections and calls are pruned five times a second.

Tests: the number of links for 12, 45 and 900 keepers; every known keeper is tried in time while no leader is known.

--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -19,6 +19,7 @@
 use tokio::time::timeout;
 
 use crate::dialect::TargetDialect;
+use crate::directory::KeeperDirectory;
 use crate::forward::Forwarder;
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
@@ -120,7 +121,6 @@
 
 /// Event loop that owns an entry's links to the keepers.
 pub struct EntryLoop<D> {
-    settings: EntrySettings,
     process_run: u64,
     shared: Arc<EntryShared<D>>,
     hub: Arc<LinkHub>,
@@ -131,7 +131,7 @@
     /// Term and link of the current leader.
     leader: Option<(u64, LinkId)>,
     view_term: u64,
-    keepers: BTreeSet<SocketAddr>,
+    directory: KeeperDirectory,
     calls: PendingCalls,
     sent_usage: UsageSums,
 }
@@ -174,8 +174,8 @@
         draining: AtomicBool::new(false),
         view_at: AtomicU64::new(0),
     });
+    let directory = KeeperDirectory::new(now(), &settings.name, settings.seeds.clone());
     let entry = EntryLoop {
-        settings,
         process_run,
         shared: Arc::clone(&shared),
         hub: LinkHub::new(hello, sender),
@@ -185,7 +185,7 @@
         links: BTreeMap::new(),
         leader: None,
         view_term: 0,
-        keepers: BTreeSet::new(),
+        directory,
         calls: PendingCalls::default(),
         sent_usage: UsageSums::default(),
     };
@@ -209,7 +209,7 @@
                     None => return,
                 },
                 Some(seeds) = self.seeds.recv() => {
-                    self.settings.seeds = seeds;
+                    self.directory.set_seeds(seeds);
                     self.update_peers();
                 }
                 _ = report.tick() => self.report(),
@@ -218,8 +218,7 @@
     }
 
     fn update_peers(&self) {
-        let all = self.settings.seeds.union(&self.keepers).copied();
-        self.hub.set_peers(all);
+        self.hub.set_peers(self.directory.peers(now()));
     }
 
     fn on_event(&mut self, event: LinkEvent) {
@@ -229,10 +228,8 @@
                     self.hub
                         .update_hello(|it| it.cluster = it.cluster.or(Some(cluster)));
                 }
-                if !hello.keepers.is_subset(&self.keepers) && self.view_term == 0 {
-                    self.keepers.extend(&hello.keepers);
-                    self.update_peers();
-                }
+                self.directory.learn(now(), hello.keepers.iter().copied());
+                self.update_peers();
                 self.links.insert(link, hello);
                 self.send_usage(link);
             }
@@ -319,7 +316,10 @@
         chooser.apply_changes(time, &view.changed, &view.removed);
         drop(chooser);
         if let Some(keepers) = view.keepers {
-            self.keepers = keepers;
+            self.directory.learn(time, keepers);
+        }
+        if let Some(members) = view.members {
+            self.directory.set_members(members);
             self.update_peers();
         }
     }
@@ -348,6 +348,9 @@
 
     /// Drops expired connections and calls, and sends the usage sums if they changed.
     fn report(&mut self) {
+        self.directory
+            .set_leader_known(now(), self.leader.is_some());
+        self.update_peers();
         self.shared.forwarder.prune();
         self.calls.prune();
         let sums = self.shared.forwarder.usage();
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -35,7 +35,7 @@
     pub control: Option<SocketAddr>,
     /// Whether this keeper may bootstrap the consensus group, together with the other seeds.
     pub founds: bool,
-    /// Link addresses of all keepers that the process knows.
+    /// Link addresses of the keepers to link to first.
     pub keepers: BTreeSet<SocketAddr>,
 }
 
@@ -65,6 +65,8 @@
     pub removed: Vec<String>,
     /// Link addresses of all keepers.
     pub keepers: Option<BTreeSet<SocketAddr>>,
+    /// Link addresses of the members of the consensus group, one of which leads.
+    pub members: Option<BTreeSet<SocketAddr>>,
     /// Number of live entries, which share the rate of requests to a cold target.
     pub entries: u32,
 }
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -2,7 +2,6 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use super::lead::LeaderState;
 use super::targets::load_targets;
 use crate::dialect::TargetDialect;
+use crate::directory::KeeperDirectory;
 use crate::forward::Forwarder;
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
@@ -52,9 +52,16 @@
 /// Longest time between two checks of the timers.
 const TICK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Least time between two checks of the timers, in milliseconds. Events that arrive within it share
+/// one check, whose cost grows with the number of targets and jobs.
+const MIN_TICK_MS: u64 = 4;
+
 /// Inputs of each kind that are processed before the timers are checked again.
 const MAX_INPUT_BATCH: usize = 256;
 
+/// Interval at which expired connections and calls are dropped, in milliseconds.
+const PRUNE_INTERVAL_MS: u64 = 200;
+
 /// Delay before a failed data folder is opened again, in milliseconds.
 const REOPEN_DELAY_MS: u64 = 500;
 
@@ -118,8 +125,12 @@
     pub(super) first_seen_at: HashMap<String, ClockTime>,
     /// Open links, each with the peer's introduction and whether this process dialled it.
     pub(super) links: BTreeMap<LinkId, (HelloFrame, bool)>,
-    /// Link addresses of known keepers, with the time at which each was learned.
-    pub(super) keepers: BTreeMap<SocketAddr, ClockTime>,
+    /// Known keepers, from which those to link to are chosen.
+    pub(super) directory: KeeperDirectory,
+    /// Time at which expired connections and calls are dropped next.
+    prune_due: ClockTime,
+    /// Time of the next update of the links.
+    pub(super) peers_due: ClockTime,
     /// Proposed changes by log index.
     pub(super) pending: BTreeMap<u64, PendingChange>,
     /// Calls that were sent to another keeper as leader.
@@ -167,6 +178,7 @@
     ) -> Self {
         let time = now();
         let last_targets = load_targets(&settings.data);
+        let directory = KeeperDirectory::new(time, &settings.name, settings.seeds.clone());
         let forgets_actions = !settings.receivers_check_fences && !settings.may_bootstrap;
         let turns = DutyTurns::new(time, settings.duty_turn_ms, forgets_actions);
         let mut core = Self {
@@ -192,7 +204,9 @@
             routes: None,
             first_seen_at: HashMap::new(),
             links: BTreeMap::new(),
-            keepers: BTreeMap::new(),
+            directory,
+            prune_due: time,
+            peers_due: time,
             pending: BTreeMap::new(),
             calls: PendingCalls::default(),
             leader: None,
@@ -205,6 +219,7 @@
             texts_due: time,
         };
         core.restore_from_disk();
+        core.directory.set_members(core.member_addresses());
         core.update_peers();
         core
     }
@@ -216,6 +231,8 @@
         mut requests: mpsc::UnboundedReceiver<CallRequest>,
         mut inputs: mpsc::UnboundedReceiver<KeeperEvent>,
     ) {
+        let mut tick_due = now();
+        let mut has_pending = false;
         loop {
             let wait = async {
                 tokio::select! {
@@ -225,7 +242,12 @@
                 }
             };
             // After a timeout without input, only timers remain to be checked.
-            timeout(TICK_INTERVAL, wait).await.ok();
+            let is_pending = std::mem::replace(&mut has_pending, false);
+            let limit = match is_pending {
+                true => Duration::from_millis(MIN_TICK_MS),
+                false => TICK_INTERVAL,
+            };
+            timeout(limit, wait).await.ok();
             for _ in 0..MAX_INPUT_BATCH {
                 let mut idle = true;
                 if let Ok(event) = links.try_recv() {
@@ -244,7 +266,13 @@
                     break;
                 }
             }
-            self.tick();
+            self.process_outputs();
+            let time = now();
+            has_pending = time < tick_due;
+            if !has_pending {
+                tick_due = time + MIN_TICK_MS;
+                self.tick();
+            }
         }
     }
 
@@ -279,14 +307,11 @@
                     },
                 );
                 if let Some(keepers) = view.keepers {
-                    let time = now();
-                    let known_count = self.keepers.len();
-                    for address in keepers {
-                        self.keepers.entry(address).or_insert(time);
-                    }
-                    if self.keepers.len() != known_count {
-                        self.update_peers();
-                    }
+                    self.directory.learn(now(), keepers);
+                }
+                if let Some(members) = view.members {
+                    self.directory.set_members(members);
+                    self.update_peers();
                 }
             }
             LinkFrame::Usage { process, sums } => self.tally.merge(process, sums),
@@ -341,7 +366,8 @@
                 self.on_usage_reported(window, accepted)
             }
             KeeperEvent::SeedsChanged(seeds) => {
-                self.settings.seeds = seeds;
+                self.settings.seeds = seeds.clone();
+                self.directory.set_seeds(seeds);
                 self.update_peers();
             }
             KeeperEvent::TransferLeadership(done) => {
@@ -367,6 +393,7 @@
     fn tick(&mut self) {
         let time = now();
         self.reopen_folder(time);
+        self.update_peers_if_due(time);
         if let Some(voter) = &mut self.voter {
             voter.node.tick(time, &mut self.outputs);
         }
@@ -376,8 +403,11 @@
         self.process_outputs();
         self.maintain_texts(time);
         self.save_targets_if_due(time);
-        self.calls.prune();
-        self.forwarder.prune();
+        if time >= self.prune_due {
+            self.prune_due = time + PRUNE_INTERVAL_MS;
+            self.calls.prune();
+            self.forwarder.prune();
+        }
     }
 
     /// Reopens the data folder after storage failed and restores the state from it.
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -211,6 +211,8 @@
 
     pub(super) fn on_members_changed(&mut self) {
         self.restart_text_replication();
+        self.directory.set_members(self.member_addresses());
+        self.update_peers();
         if let Some(lead) = &mut self.lead {
             lead.changes.keepers = true;
         }
@@ -372,14 +374,14 @@
     /// Updates gauges and the observed paces of engines, and stops runs on engines that have become
     /// slow so that other engines resume them.
     fn check_run_paces(&mut self, time: ClockTime) {
+        if self.lead.as_ref().is_none_or(|it| time < it.pace_due) {
+            return;
+        }
         let engines = self.engine_slots(time);
         let log_bytes = self.voter.as_ref().map_or(0, |it| it.folder.log_bytes());
         let Some(lead) = &mut self.lead else {
             return;
         };
-        if time < lead.pace_due {
-            return;
-        }
         lead.pace_due = time + PACE_INTERVAL_MS;
         METRICS.lead_term.set(lead.term as i64);
         METRICS.items_waiting.set(lead.scheduler.waiting() as i64);
--- a/crates/service/src/keeper/outputs.rs
+++ b/crates/service/src/keeper/outputs.rs
@@ -97,6 +97,7 @@
                 if snapshot.index > self.state.index {
                     self.restore(&snapshot);
                 }
+                self.directory.set_members(self.member_addresses());
                 self.update_peers();
             }
             ConsensusOutput::RoleChanged { role, term } => self.on_role_changed(role, term),
@@ -138,7 +139,6 @@
             EntryBody::Noop => self.state.skip(entry.index),
             EntryBody::Membership(_) => {
                 self.state.skip(entry.index);
-                self.update_peers();
                 self.on_members_changed();
             }
             EntryBody::Command(bytes) => match decode_command(&bytes) {
--- a/crates/service/src/keeper/peers.rs
+++ b/crates/service/src/keeper/peers.rs
@@ -1,40 +1,37 @@
 //! Links to other keepers and entries, and the leader that these announce.
 
-use std::collections::BTreeSet;
-use std::net::SocketAddr;
-
 use super::core::KeeperCore;
 use crate::dialect::TargetDialect;
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
 use crate::frames::LinkFrame;
 use crate::link::LinkId;
+use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::ident::NodeId;
 use bergamotlane_storage::clock::now;
 use bergamotlane_wire::ConsensusMessageWire;
 
-/// Time for which a keeper that is neither a seed nor a member is dialled after its address was
-/// learned or its link came up, in milliseconds.
-const KEEPER_RETENTION_MS: u64 = 30_000;
+/// Interval between two updates of the links, in milliseconds.
+const PEERS_INTERVAL_MS: u64 = 500;
 
 impl<D: TargetDialect> KeeperCore<D> {
-    /// Passes the addresses of the seeds, the members and other known keepers to the link hub.
+    /// Passes the addresses of the keepers to link to to the link hub.
     pub(super) fn update_peers(&mut self) {
-        let time = now();
-        let members: Vec<SocketAddr> = self
-            .voter
-            .iter()
-            .flat_map(|it| it.node.membership().members())
-            .filter_map(|(_, record)| record.address.parse().ok())
-            .collect();
-        self.keepers
-            .retain(|_, at| time.since(*at) < KEEPER_RETENTION_MS);
-        let mut addresses: BTreeSet<SocketAddr> = self.settings.seeds.clone();
-        addresses.extend(members);
-        addresses.extend(self.keepers.keys());
-        self.hub.update_hello(|it| it.keepers = addresses.clone());
+        let core = self.directory.core();
+        self.hub.update_hello(|it| it.keepers = core);
         let _runtime = self.runtime.enter();
-        self.hub.set_peers(addresses);
+        self.hub.set_peers(self.directory.peers(now()));
+    }
+
+    /// Updates the links at their interval, since other keepers are tried while no leader is known.
+    pub(super) fn update_peers_if_due(&mut self, time: ClockTime) {
+        if time < self.peers_due {
+            return;
+        }
+        self.peers_due = time + PEERS_INTERVAL_MS;
+        let knows_leader = self.leader.is_some() || self.is_confirmed_leader();
+        self.directory.set_leader_known(time, knows_leader);
+        self.update_peers();
     }
 
     pub(super) fn on_link_up(&mut self, link: LinkId, hello: HelloFrame, dialled: bool) {
@@ -45,20 +42,12 @@
         if hello.node.is_some() {
             self.restart_text_replication();
         }
-        let mut has_new_address = false;
-        if let Some(address) = hello.address {
-            has_new_address |= self.keepers.insert(address, time).is_none();
-        }
+        self.directory.learn(time, hello.address);
         if hello.node.is_some() {
-            for address in &hello.keepers {
-                has_new_address |= !self.keepers.contains_key(address);
-                self.keepers.entry(*address).or_insert(time);
-            }
+            self.directory.learn(time, hello.keepers.iter().copied());
         }
         self.links.insert(link, (hello, dialled));
-        if has_new_address {
-            self.update_peers();
-        }
+        self.update_peers();
         self.mark_replaced_voters(link);
         self.send_leadership_status(link);
         self.send_full_view(link);
--- a/crates/service/src/keeper/view.rs
+++ b/crates/service/src/keeper/view.rs
@@ -64,15 +64,23 @@
         entries.count() as u32
     }
 
-    /// Returns the link addresses of all members and linked keepers, this one included.
-    fn keeper_addresses(&self) -> BTreeSet<SocketAddr> {
+    /// Returns the link addresses of the members of the consensus group.
+    pub(super) fn member_addresses(&self) -> BTreeSet<SocketAddr> {
         let members = self
             .voter
             .iter()
-            .flat_map(|it| it.node.membership().members())
-            .filter_map(|(_, record)| record.address.parse().ok());
-        let linked = self.links.values().filter_map(|(hello, _)| hello.address);
-        members.chain(linked).chain([self.settings.link]).collect()
+            .flat_map(|it| it.node.membership().members());
+        members
+            .filter_map(|(_, record)| record.address.parse().ok())
+            .collect()
+    }
+
+    /// Returns the link addresses of all members and linked keepers, this one included.
+    fn keeper_addresses(&self) -> BTreeSet<SocketAddr> {
+        let mut addresses = self.member_addresses();
+        addresses.extend(self.links.values().filter_map(|(hello, _)| hello.address));
+        addresses.insert(self.settings.link);
+        addresses
     }
 
     /// Returns the names of the services that callers' requests may go to.
@@ -128,6 +136,7 @@
             changed,
             removed,
             keepers: changes.keepers.then(|| self.keeper_addresses()),
+            members: changes.keepers.then(|| self.member_addresses()),
             entries: self.entry_count(),
         };
         let has_content = view.plan.is_some()
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod choice;
 pub mod dialect;
+pub mod directory;
 mod engine_load;
 pub mod entry;
 pub mod events;
--- a/crates/service/src/weights.rs
+++ b/crates/service/src/weights.rs
@@ -8,6 +8,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use crate::load_order::LoadTarget;
 use crate::load_order::ModelNeeds;
@@ -178,8 +179,8 @@
 
     /// Removes engines that are no longer targets, and resets those that were restarted.
     fn sync_engines(&mut self, targets: &[WeightTarget]) {
-        self.engines
-            .retain(|id, _| targets.iter().any(|it| it.id == *id));
+        let ids: HashSet<&str> = targets.iter().map(|it| it.id.as_str()).collect();
+        self.engines.retain(|id, _| ids.contains(id.as_str()));
         for target in targets {
             let state = self.engines.entry(target.id.clone()).or_default();
             if state.born != target.born {
