--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -32,6 +33,7 @@
 use crate::pool::TargetPool;
 use crate::registry::TargetView;
 use crate::state::ServiceState;
+use crate::text_journal::TextJournal;
 use crate::texts::TextStore;
 use crate::turns::DutyTurns;
 use crate::usage::UsageTally;
@@ -148,6 +150,8 @@
     pub(super) tally: UsageTally,
     /// Partial texts that later runs of their items resume from.
     pub(super) texts: TextStore,
+    /// Journal of the partial texts; `None` if it could not be opened.
+    pub(super) text_journal: Option<TextJournal>,
     /// Time of the next replication of partial texts.
     pub(super) texts_due: ClockTime,
 }
@@ -166,6 +170,24 @@
     }
 }
 
+/// Opens the journal of partial texts and returns it with the texts of an earlier run of the process.
+fn open_texts(data: &Path, time: ClockTime) -> (Option<TextJournal>, TextStore) {
+    let mut texts = TextStore::default();
+    let journal = match TextJournal::open(data) {
+        Ok((journal, deltas)) => {
+            for delta in deltas {
+                texts.apply_delta(time, delta);
+            }
+            Some(journal)
+        }
+        Err(error) => {
+            spdlog::warn!("texts: no journal, texts are in memory alone", kv: { error = error.to_string() });
+            None
+        }
+    };
+    (journal, texts)
+}
+
 impl<D: TargetDialect> KeeperCore<D> {
     pub(super) fn new(
         settings: KeeperSettings,
@@ -178,6 +200,7 @@
     ) -> Self {
         let time = now();
         let last_targets = load_targets(&settings.data);
+        let (text_journal, texts) = open_texts(&settings.data, time);
         let directory = KeeperDirectory::new(time, &settings.name, settings.seeds.clone());
         let forgets_actions = !settings.receivers_check_fences && !settings.may_bootstrap;
         let turns = DutyTurns::new(time, settings.duty_turn_ms, forgets_actions);
@@ -215,7 +238,8 @@
             view_term: 0,
             targets_due: None,
             tally: UsageTally::default(),
-            texts: TextStore::default(),
+            texts,
+            text_journal,
             texts_due: time,
         };
         core.restore_from_disk();
--- a/crates/service/src/keeper/texts.rs
+++ b/crates/service/src/keeper/texts.rs
@@ -30,8 +30,16 @@
     /// Stores what the leader's runs have added to their texts.
     pub(super) fn receive_texts(&mut self, deltas: Vec<TextDelta>) {
         let time = now();
-        for delta in deltas {
-            self.texts.apply_delta(time, delta);
+        self.record_texts(time, deltas);
+    }
+
+    /// Stores additions to texts in memory and in the journal.
+    fn record_texts(&mut self, time: ClockTime, deltas: Vec<TextDelta>) {
+        for delta in &deltas {
+            self.texts.apply_delta(time, delta.clone());
+        }
+        if let Some(journal) = &mut self.text_journal {
+            journal.append(&deltas, &self.texts);
         }
     }
 
@@ -129,9 +137,13 @@
         if deltas.is_empty() {
             return;
         }
-        let frame = codec::encode(&LinkFrame::Texts(deltas));
+        let frame = LinkFrame::Texts(deltas);
+        let encoded = codec::encode(&frame);
         for link in voters {
-            self.hub.send_encoded(link, frame.clone());
+            self.hub.send_encoded(link, encoded.clone());
+        }
+        if let LinkFrame::Texts(deltas) = frame {
+            self.record_texts(time, deltas);
         }
     }
 
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod schedule;
 pub mod scoring;
 pub mod state;
+pub mod text_journal;
 pub mod texts;
 pub mod turns;
 pub mod usage;
--- a/crates/service/src/texts.rs
+++ b/crates/service/src/texts.rs
@@ -1,8 +1,8 @@
 //! Partial texts of unfinished items, from which another run can resume: after a change of
 //! leader, or in a later job that carries the item over.
 //!
-//! The texts are kept only in memory. Losing one costs time, since the item starts over, but
-//! never a result.
+//! The texts are kept in memory and, with some delay, in a journal on disk, see
+//! [`crate::text_journal`]. Losing one costs time, since the item starts over, but never a result.
 
 use std::collections::BTreeMap;
 
@@ -135,6 +135,14 @@
             .retain(|_, it| now.since(it.grown_at) < TEXT_RETENTION_MS);
     }
 
+    /// Returns all texts, each as a delta from its start.
+    pub fn all_deltas(&self) -> Vec<TextDelta> {
+        let texts = self.texts.iter();
+        texts
+            .filter_map(|(key, it)| TextDelta::since(key, it.run, 0, &it.text))
+            .collect()
+    }
+
     /// Returns the number of stored texts.
     pub fn len(&self) -> usize {
         self.texts.len()
--- /dev/null
+++ b/crates/service/tests/text_journal.rs
@@ -0,0 +1,109 @@
+//! Tests the journal of partial texts: texts survive a restart of the process.
+
+use std::path::Path;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_service::text_journal::TextJournal;
+use bergamotlane_service::texts::TextDelta;
+use bergamotlane_service::texts::TextKey;
+use bergamotlane_service::texts::TextStore;
+use bergamotlane_service::work::PartialText;
+
+const START: ClockTime = ClockTime(10_000);
+
+/// Time after which a write that has not reached the disk fails the test.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+fn key() -> TextKey {
+    TextKey {
+        customer: None,
+        item: "i".to_owned(),
+    }
+}
+
+fn text(events: u64, bytes: usize) -> PartialText {
+    PartialText {
+        events: (0..events)
+            .map(|_| Bytes::from(vec![b'x'; bytes]))
+            .collect(),
+        last_id: events.checked_sub(1),
+        versions: vec![4],
+        is_complete: false,
+    }
+}
+
+/// Returns the texts that a process finds that starts with this data folder.
+fn texts_after_restart(data: &Path) -> TextStore {
+    let (_journal, deltas) = TextJournal::open(data).unwrap();
+    let mut texts = TextStore::default();
+    for delta in deltas {
+        texts.apply_delta(START, delta);
+    }
+    texts
+}
+
+/// Appends a growing text to a journal in steps of ten events, and checks that it is found whole.
+fn check_growth(steps: u64, event_bytes: usize) {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut journal, _) = TextJournal::open(folder.path()).unwrap();
+    let mut texts = TextStore::default();
+    for step in 0..steps {
+        let text = text(10 * (step + 1), event_bytes);
+        let delta = TextDelta::since(&key(), 7, 10 * step as u32, &text).unwrap();
+        texts.apply_delta(START, delta.clone());
+        journal.append(&[delta], &texts);
+        // The queue is short, as it may be full while the disk stalls; let it drain.
+        let is_whole = || {
+            let found = texts_after_restart(folder.path());
+            found
+                .get(&key(), 4)
+                .is_some_and(|it| it.events.len() == text.events.len())
+        };
+        let end = Instant::now() + TIMEOUT;
+        while !is_whole() {
+            assert!(Instant::now() < end, "step {step} was not written");
+            sleep(Duration::from_millis(5));
+        }
+    }
+}
+
+#[test]
+fn a_text_is_found_whole_after_a_restart() {
+    check_growth(6, 100);
+}
+
+#[test]
+fn a_text_is_found_whole_after_the_journal_began_anew() {
+    check_growth(14, 100_000);
+}
+
+/// Guards against additions that are lost in a full queue and leave a gap: the next write must
+/// hold the text from its start.
+#[test]
+fn additions_that_did_not_fit_into_the_queue_leave_no_gap() {
+    let folder = tempfile::tempdir().unwrap();
+    let (mut journal, _) = TextJournal::open(folder.path()).unwrap();
+    let mut texts = TextStore::default();
+    for step in 0..200_u64 {
+        let text = text(step + 1, 1_000);
+        let delta = TextDelta::since(&key(), 7, step as u32, &text).unwrap();
+        texts.apply_delta(START, delta.clone());
+        journal.append(&[delta], &texts);
+    }
+    let end = Instant::now() + TIMEOUT;
+    loop {
+        journal.append(&[], &texts);
+        let found = texts_after_restart(folder.path());
+        let found = found.get(&key(), 4).map_or(0, |it| it.events.len());
+        if found == 200 {
+            return;
+        }
+        assert!(Instant::now() < end, "found {found} of 200 events");
+        sleep(Duration::from_millis(20));
+    }
+}
--- /dev/null
+++ b/crates/storage/src/journal.rs
@@ -0,0 +1,94 @@
+//! Journal of records of which the latest ones are worth keeping but none is indispensable.
+//!
+//! A journal alternates between two files. Each begins with its generation, so that the newer one
+//! is known after a restart. What follows a torn or damaged record is ignored.
+
+use std::fs::File;
+use std::io;
+use std::io::Write;
+use std::path::Path;
+use std::path::PathBuf;
+
+use bytes::Bytes;
+
+use crate::file::sync_parent;
+use crate::record;
+
+/// Extensions of the two files.
+const EXTENSIONS: [&str; 2] = ["0", "1"];
+
+/// Journal that is open for appending.
+#[derive(Debug)]
+pub struct RecordJournal {
+    base: PathBuf,
+    generation: u64,
+    /// File of the generation; `None` until the first record is written.
+    file: Option<File>,
+}
+
+impl RecordJournal {
+    /// Opens the journal whose files are `base` with an extension. Returns it with the payloads of
+    /// all intact records, oldest first.
+    pub fn open(base: &Path) -> (Self, Vec<Bytes>) {
+        let mut files: Vec<(u64, Vec<Bytes>)> = EXTENSIONS
+            .iter()
+            .filter_map(|it| read_generation(&base.with_extension(it)))
+            .collect();
+        files.sort_by_key(|(generation, _)| *generation);
+        let journal = Self {
+            base: base.to_owned(),
+            generation: files.last().map_or(0, |(generation, _)| *generation),
+            file: None,
+        };
+        let payloads = files.into_iter().flat_map(|(_, payloads)| payloads);
+        (journal, payloads.collect())
+    }
+
+    /// Begins the next generation with a record, which replaces the generation before the last.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be written or synced; the next record must begin another
+    /// generation.
+    pub fn begin(&mut self, payload: &[u8]) -> io::Result<()> {
+        self.file = None;
+        self.generation += 1;
+        let extension = EXTENSIONS[(self.generation % 2) as usize];
+        let path = self.base.with_extension(extension);
+        let mut file = File::create(&path)?;
+        file.write_all(&record::frame(&self.generation.to_le_bytes()))?;
+        file.write_all(&record::frame(payload))?;
+        file.sync_all()?;
+        sync_parent(&path)?;
+        self.file = Some(file);
+        Ok(())
+    }
+
+    /// Appends a record to the current generation and makes it durable.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if no generation has begun, or if the file can't be written or synced; the
+    /// next record must begin another generation.
+    pub fn append(&mut self, payload: &[u8]) -> io::Result<()> {
+        let Some(mut file) = self.file.take() else {
+            return Err(io::ErrorKind::NotFound.into());
+        };
+        file.write_all(&record::frame(payload))?;
+        file.sync_data()?;
+        self.file = Some(file);
+        Ok(())
+    }
+}
+
+/// Reads a file of a journal: its generation and the payloads that follow.
+fn read_generation(path: &Path) -> Option<(u64, Vec<Bytes>)> {
+    let mut reader = io::BufReader::new(File::open(path).ok()?);
+    let generation = record::read_next(&mut reader).ok()??;
+    let generation = u64::from_le_bytes(generation.try_into().ok()?);
+    let mut payloads = Vec::new();
+    while let Ok(Some(payload)) = record::read_next(&mut reader) {
+        payloads.push(Bytes::from(payload));
+    }
+    Some((generation, payloads))
+}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod clock;
 mod file;
 mod folder;
+mod journal;
 mod record;
 mod recovery;
 mod voter;
@@ -19,5 +20,6 @@
 pub use folder::FolderContent;
 pub use folder::FolderIdentity;
 pub use folder::StorageError;
+pub use journal::RecordJournal;
 pub use voter::DiskVoter;
 pub use voter::SnapshotThresholds;
--- a/crates/storage/src/tests.rs
+++ b/crates/storage/src/tests.rs
@@ -197,3 +197,55 @@
         }
     }
 }
+
+fn payloads_in(base: &Path) -> Vec<Bytes> {
+    RecordJournal::open(base).1
+}
+
+#[test]
+fn a_journal_keeps_its_latest_generations_in_order() {
+    let folder = tempfile::tempdir().unwrap();
+    let base = folder.path().join("texts");
+    let (mut journal, payloads) = RecordJournal::open(&base);
+    assert!(payloads.is_empty());
+    assert!(journal.append(b"too early").is_err());
+    journal.begin(b"a").unwrap();
+    journal.append(b"b").unwrap();
+    journal.begin(b"c").unwrap();
+    assert_eq!(payloads_in(&base), ["a", "b", "c"]);
+    journal.begin(b"d").unwrap();
+    journal.append(b"e").unwrap();
+    assert_eq!(payloads_in(&base), ["c", "d", "e"]);
+    // A journal that is opened again must not overwrite the newest generation.
+    let (mut journal, _) = RecordJournal::open(&base);
+    journal.begin(b"f").unwrap();
+    assert_eq!(payloads_in(&base), ["d", "e", "f"]);
+}
+
+#[test]
+fn a_torn_or_damaged_journal_yields_its_intact_records() {
+    let folder = tempfile::tempdir().unwrap();
+    let base = folder.path().join("texts");
+    let (mut journal, _) = RecordJournal::open(&base);
+    journal.begin(b"first").unwrap();
+    journal.append(b"second").unwrap();
+    let path = base.with_extension("1");
+    let whole = fs::read(&path).unwrap();
+    for length in 0..whole.len() {
+        fs::write(&path, &whole[..length]).unwrap();
+        let payloads = payloads_in(&base);
+        assert!(
+            ["first", "second"].starts_with(
+                &payloads
+                    .iter()
+                    .map(|it| std::str::from_utf8(it).unwrap())
+                    .collect::<Vec<_>>()
+            )
+        );
+    }
+    let mut damaged = whole.clone();
+    let last = damaged.len() - 1;
+    damaged[last] ^= 1;
+    fs::write(&path, &damaged).unwrap();
+    assert_eq!(payloads_in(&base), ["first"]);
+}
