Tell linked processes of the keepers to link to whenever they change

Cause: a process learned of the group's members when a link came up, and later only from a leader's view. After a restart of everything, a link to a seed that is no member may come up before that seed has heard of the members itself; with links to the seeds and members only, nobody on such links ever finds the group.

Change: a keeper sends the keepers to link to over all its links whenever they change; while it knows no member, that is everything it has heard of.

Test: a model of 40 entries and 20 keepers, restarted with outdated seeds; without the frame, not everybody reaches a member.

--- a/crates/service/src/directory.rs
+++ b/crates/service/src/directory.rs
@@ -71,19 +71,19 @@
         };
     }
 
-    /// Returns the seeds and members, which other processes may link to first.
+    /// Returns the keepers to link to first, which linked processes are told: the seeds and members,
+    /// or, while no member is known, everything heard of.
     pub fn core(&self) -> BTreeSet<SocketAddr> {
-        self.seeds.union(&self.members).copied().collect()
+        let mut core: BTreeSet<SocketAddr> = self.seeds.union(&self.members).copied().collect();
+        if self.members.is_empty() {
+            core.extend(self.known.keys());
+        }
+        core
     }
 
     /// Returns the addresses to link to now.
     pub fn peers(&self, now: ClockTime) -> BTreeSet<SocketAddr> {
         let mut peers = self.core();
-        // Before the first view, what other processes tell is all there is.
-        if self.members.is_empty() {
-            peers.extend(self.known.keys());
-            return peers;
-        }
         let leaderless_ms = self.leaderless_since.map_or(0, |it| now.since(it));
         let round = leaderless_ms / ROUND_MS;
         if round > 0 {
--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -255,6 +255,10 @@
                 }
                 self.calls.answer(id, reply);
             }
+            LinkFrame::Keepers(keepers) => {
+                self.directory.learn(now(), keepers);
+                self.update_peers();
+            }
             LinkFrame::Hello(_)
             | LinkFrame::Consensus(_)
             | LinkFrame::Call { .. }
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -340,6 +340,10 @@
             }
             LinkFrame::Usage { process, sums } => self.tally.merge(process, sums),
             LinkFrame::Texts(deltas) => self.receive_texts(deltas),
+            LinkFrame::Keepers(keepers) => {
+                self.directory.learn(now(), keepers);
+                self.update_peers();
+            }
             LinkFrame::Hello(_) => {}
         }
     }
--- a/crates/service/src/keeper/peers.rs
+++ b/crates/service/src/keeper/peers.rs
@@ -10,15 +10,24 @@
 use bergamotlane_coordination::ident::NodeId;
 use bergamotlane_storage::clock::now;
 use bergamotlane_wire::ConsensusMessageWire;
+use bergamotlane_wire::codec;
 
 /// Interval between two updates of the links, in milliseconds.
 const PEERS_INTERVAL_MS: u64 = 500;
 
 impl<D: TargetDialect> KeeperCore<D> {
-    /// Passes the addresses of the keepers to link to to the link hub.
+    /// Passes the addresses of the keepers to link to to the link hub, and tells linked processes of
+    /// those to link to first if they have changed.
     pub(super) fn update_peers(&mut self) {
         let core = self.directory.core();
-        self.hub.update_hello(|it| it.keepers = core);
+        if core != self.hello.keepers {
+            self.hello.keepers.clone_from(&core);
+            let frame = codec::encode(&LinkFrame::Keepers(core.clone()));
+            for link in self.links.keys() {
+                self.hub.send_encoded(*link, frame.clone());
+            }
+            self.hub.update_hello(|it| it.keepers = core);
+        }
         let _runtime = self.runtime.enter();
         self.hub.set_peers(self.directory.peers(now()));
     }
--- a/crates/service/tests/directory.rs
+++ b/crates/service/tests/directory.rs
@@ -86,3 +86,93 @@
     directory.set_members(BTreeSet::new());
     assert_eq!(directory.peers(START), addresses(0..8));
 }
+
+/// Process of a model cluster: its directory, its own address if it is a keeper, and what it last
+/// told its links.
+struct ModelProcess {
+    directory: KeeperDirectory,
+    own: Option<SocketAddr>,
+    told: BTreeSet<SocketAddr>,
+}
+
+/// Lets a process dial its peers and tell linked keepers and entries of the keepers it knows. With
+/// `tells_changes` unset, a link carries what its ends know when it comes up, and nothing later.
+fn play_round(
+    processes: &mut [ModelProcess],
+    links: &mut BTreeSet<(usize, usize)>,
+    tells_changes: bool,
+) {
+    let now = START + 100;
+    for from in 0..processes.len() {
+        for peer in processes[from].directory.peers(now) {
+            let to = processes.iter().position(|it| it.own == Some(peer));
+            let Some(to) = to.filter(|it| *it != from) else {
+                continue;
+            };
+            if links.insert((from, to)) {
+                let (dialler, acceptor) = (
+                    processes[from].directory.core(),
+                    processes[to].directory.core(),
+                );
+                let own = processes[from].own;
+                processes[to].directory.learn(now, own);
+                if own.is_some() {
+                    processes[to].directory.learn(now, dialler);
+                }
+                processes[from].directory.learn(now, acceptor);
+            }
+        }
+    }
+    if !tells_changes {
+        return;
+    }
+    for from in 0..processes.len() {
+        let core = processes[from].directory.core();
+        if processes[from].own.is_none() || core == processes[from].told {
+            continue;
+        }
+        processes[from].told = core.clone();
+        for (a, b) in links.iter().filter(|(a, b)| *a == from || *b == from) {
+            let other = if *a == from { *b } else { *a };
+            processes[other].directory.learn(now, core.clone());
+        }
+    }
+}
+
+/// Returns how many of 40 entries and 20 keepers can reach a member after all were restarted. The
+/// seeds have lost their disks and are no members any more; only the members know who they are.
+fn reachable_after_restart(tells_changes: bool) -> usize {
+    let members = addresses(10..15);
+    let mut processes: Vec<ModelProcess> = (0..60)
+        .map(|number| ModelProcess {
+            directory: KeeperDirectory::new(START, &format!("p{number}"), addresses(0..3)),
+            own: (number >= 40).then(|| address(number - 40)),
+            told: BTreeSet::new(),
+        })
+        .collect();
+    for process in processes
+        .iter_mut()
+        .filter(|it| it.own.is_some_and(|own| members.contains(&own)))
+    {
+        process.directory.set_members(members.clone());
+    }
+    let mut links = BTreeSet::new();
+    for _ in 0..8 {
+        play_round(&mut processes, &mut links, tells_changes);
+    }
+    let reaches = |number: usize| {
+        links.iter().any(|(from, to)| {
+            let is_member = |it: usize| processes[it].own.is_some_and(|own| members.contains(&own));
+            (*from == number && is_member(*to)) || (*to == number && is_member(*from))
+        })
+    };
+    (0..60).filter(|it| reaches(*it)).count()
+}
+
+/// Guards against a cluster that does not find its own group after a restart of everything with
+/// outdated seeds.
+#[test]
+fn everybody_finds_the_members_after_a_restart_with_outdated_seeds() {
+    assert_eq!(reachable_after_restart(true), 60);
+    assert!(reachable_after_restart(false) < 60);
+}
