Bound what is read of an engine's answer in a run

Cause: a stream that sent a byte now and then was read for ever, since any data reset the limit on silence; events without end grew the text without bound; and the body of an error answer or of a duty's answer was read without bound for up to 2.5 s, more than a keeper's memory on a fast link.

Change: a run ends after 10 s without a complete event and at 4 MiB of text; at most 64 KiB of an error and 256 KiB of a duty's answer are read. A duty whose answer is too long counts as answered.

Tests: stub targets that dribble, stream for ever, or send a body, a head or interim answers without end, for runs and forwarded requests; a slow but steady stream is read to its end.

--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -13,6 +13,7 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use tokio::time::timeout;
 
 use super::KeeperEvent;
@@ -46,6 +47,9 @@
 /// Time limit for a request of a duty, including its response body.
 const DUTY_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Largest body of a duty's answer that is read, in bytes.
+const MAX_DUTY_ANSWER_BYTES: usize = 256 * 1024;
+
 /// Least remaining lease time with which a duty's request is sent, in milliseconds.
 const LEASE_MARGIN_MS: u64 = 60;
 
@@ -98,9 +102,13 @@
     let exchange = async {
         let (response, connection) = pool.send(address, request, false).await?;
         let status = response.status();
-        let body = response.into_body().collect().await?.to_bytes();
+        let body = Limited::new(response.into_body(), MAX_DUTY_ANSWER_BYTES);
+        // An answer that is too long or breaks off was still an answer: the duty was carried out.
+        let Ok(body) = body.collect().await else {
+            return Ok((status, Bytes::new()));
+        };
         connection.keep();
-        Ok::<_, SendError>((status, body))
+        Ok::<_, SendError>((status, body.to_bytes()))
     };
     match timeout(DUTY_TIMEOUT, lease.guard(exchange)).await {
         Ok(Some(Ok(answer))) => Ok(answer),
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -21,6 +21,7 @@
 use crate::registry::TargetStage;
 use crate::run::RunProgress;
 use crate::run::RunRequest;
+use crate::run::StreamLimits;
 use crate::run::run_item;
 use crate::state::StateCommand;
 use crate::texts::TextKey;
@@ -185,6 +186,7 @@
             customer: submission.customer.clone(),
             version: start.version,
             min_version: submission.min_version,
+            limits: StreamLimits::default(),
         };
         let key = TextKey {
             customer: submission.customer.clone(),
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -19,6 +19,7 @@
 use http::header::HOST;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use http_body_util::Limited;
 use hyper::body::Incoming;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -37,6 +38,36 @@
 /// Time without data from the engine after which a run is stopped, to be resumed elsewhere.
 const SILENCE_LIMIT: Duration = Duration::from_millis(2_500);
 
+/// Time without a complete event after which a run is stopped although bytes arrive.
+const STALL_LIMIT: Duration = Duration::from_secs(10);
+
+/// Largest text of an item, in bytes; an engine that generates more is faulty.
+const MAX_TEXT_BYTES: usize = 4 * 1024 * 1024;
+
+/// Largest body of an error answer that is read, in bytes.
+const MAX_ERROR_BYTES: usize = 64 * 1024;
+
+/// Limits on the streamed answer of an engine.
+#[derive(Debug, Clone, Copy)]
+pub struct StreamLimits {
+    /// Longest time without data.
+    pub silence: Duration,
+    /// Longest time without a complete event, while data arrives.
+    pub stall: Duration,
+    /// Largest text, in bytes.
+    pub text_bytes: usize,
+}
+
+impl Default for StreamLimits {
+    fn default() -> Self {
+        Self {
+            silence: SILENCE_LIMIT,
+            stall: STALL_LIMIT,
+            text_bytes: MAX_TEXT_BYTES,
+        }
+    }
+}
+
 /// Request of a run to an engine.
 #[derive(Debug, Clone)]
 pub struct RunRequest {
@@ -60,6 +91,8 @@
     pub version: u64,
     /// Oldest weight version that may generate an event.
     pub min_version: u64,
+    /// Limits on the streamed answer.
+    pub limits: StreamLimits,
 }
 
 /// Text and pace of a run in progress, shared with the scheduler.
@@ -151,8 +184,9 @@
     let Some(message) = build_request(dialect, request, last_event) else {
         return StreamEnd::Other(RunEnd::Rejected);
     };
+    let limits = request.limits;
     let sent = pool.send(request.address, message, true);
-    let (response, connection) = match timeout(SILENCE_LIMIT, sent).await {
+    let (response, connection) = match timeout(limits.silence, sent).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendError::Connect)) => return StreamEnd::Other(RunEnd::Unreachable),
         Ok(Err(SendError::Broken(_))) | Err(_) => return StreamEnd::Broken,
@@ -167,7 +201,8 @@
     }
     if !response.status().is_success() {
         let end = end_for_status(response.status(), metadata.not_run);
-        let body = timeout(SILENCE_LIMIT, response.into_body().collect()).await;
+        let body = Limited::new(response.into_body(), MAX_ERROR_BYTES);
+        let body = timeout(limits.silence, body.collect()).await;
         if matches!(body, Ok(Ok(_))) {
             connection.keep();
         }
@@ -177,7 +212,7 @@
     if metadata.stamp.is_none() || version < request.min_version {
         return StreamEnd::Broken;
     }
-    let reading = read_stream(dialect, response.into_body(), version, progress);
+    let reading = read_stream(dialect, response.into_body(), version, progress, limits);
     match reading.await {
         true => {
             connection.keep();
@@ -227,16 +262,23 @@
 }
 
 /// Reads events to the end of the stream; returns whether the stream ended regularly, after a
-/// complete event.
+/// complete event and within its limits.
 async fn read_stream<D: TargetDialect>(
     dialect: &D,
     mut body: Incoming,
     mut version: u64,
     progress: &RunProgress,
+    limits: StreamLimits,
 ) -> bool {
     let mut reader = EventReader::default();
+    let mut event_at = now();
+    let mut text_bytes = 0;
     loop {
-        let frame = match timeout(SILENCE_LIMIT, body.frame()).await {
+        let stalled_ms = now().since(event_at);
+        let stall_left = limits
+            .stall
+            .saturating_sub(Duration::from_millis(stalled_ms));
+        let frame = match timeout(limits.silence.min(stall_left), body.frame()).await {
             Ok(Some(Ok(frame))) => frame,
             Ok(None) => return !reader.has_partial_event(),
             Ok(Some(Err(_))) | Err(_) => return false,
@@ -248,6 +290,11 @@
             return false;
         }
         while let Some(event) = reader.next_event() {
+            event_at = now();
+            text_bytes += event.data.as_ref().map_or(0, Bytes::len);
+            if text_bytes > limits.text_bytes {
+                return false;
+            }
             if let Some(changed) = announced_version(dialect, &event) {
                 version = changed;
             }
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -107,6 +107,9 @@
 #[case::all_fail(&[StubBehaviour::Fails, StubBehaviour::Fails], "500 broken")]
 #[case::all_truncate(&[StubBehaviour::Truncates, StubBehaviour::Truncates], "Failed")]
 #[case::all_answer_other_requests(&[StubBehaviour::AnswersOtherRequest, StubBehaviour::AnswersOtherRequest], "Failed")]
+#[case::endless_body_then_healthy(&[StubBehaviour::EndlessBody(200), StubBehaviour::Healthy], "200 whole")]
+#[case::endless_head_then_healthy(&[StubBehaviour::EndlessHead, StubBehaviour::Healthy], "200 whole")]
+#[case::endless_interims_then_healthy(&[StubBehaviour::EndlessInterims, StubBehaviour::Healthy], "200 whole")]
 #[case::no_target(&[], "NotRun")]
 #[tokio::test]
 async fn a_repeatable_request_gets_a_complete_answer_or_an_accurate_failure(
--- a/crates/service/tests/targets/run.rs
+++ b/crates/service/tests/targets/run.rs
@@ -1,10 +1,12 @@
 //! Tests item runs at engines that break the stream, skip events or change their weights.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use rstest::rstest;
 use tokio::sync::oneshot;
+use tokio::time::timeout;
 
 use crate::support::EVENT_COUNT;
 use crate::support::StubBehaviour;
@@ -14,12 +16,23 @@
 use bergamotlane_service::pool::TargetPool;
 use bergamotlane_service::run::RunProgress;
 use bergamotlane_service::run::RunRequest;
+use bergamotlane_service::run::StreamLimits;
 use bergamotlane_service::run::run_item;
 use bergamotlane_service::work::PartialText;
 use bergamotlane_service::work::RunEnd;
 
 /// Runs an item at a stub target, starting from a partial text.
 async fn run(behaviour: StubBehaviour, min_version: u64, partial: PartialText) -> RunEnd {
+    run_within(behaviour, min_version, partial, StreamLimits::default()).await
+}
+
+/// Runs an item at a stub target within limits, starting from a partial text.
+async fn run_within(
+    behaviour: StubBehaviour,
+    min_version: u64,
+    partial: PartialText,
+    limits: StreamLimits,
+) -> RunEnd {
     let stub = StubTarget::start(behaviour).await;
     let request = RunRequest {
         target: "e".to_owned(),
@@ -32,6 +45,7 @@
         customer: None,
         version: 1,
         min_version,
+        limits,
     };
     let (_stop_sender, stop) = oneshot::channel();
     let progress = Arc::new(RunProgress::new(partial));
@@ -94,6 +108,47 @@
     assert_eq!(event_texts(&partial), expected_texts(1));
 }
 
+/// Limits under which a stub's faults show in under a second.
+fn short_limits() -> StreamLimits {
+    StreamLimits {
+        silence: Duration::from_millis(300),
+        stall: Duration::from_millis(600),
+        text_bytes: 100_000,
+    }
+}
+
+/// Guards against answers that never end: in events, in bytes that complete no event, in the body
+/// of an error, in the head, and in interim answers. Each must end the run, in bounded memory.
+#[rstest]
+#[case::dribbles(StubBehaviour::Dribbles, 1)]
+#[case::streams_forever(StubBehaviour::StreamsForever, 100)]
+#[case::endless_error(StubBehaviour::EndlessBody(500), 0)]
+#[case::endless_bytes(StubBehaviour::EndlessBody(200), 0)]
+#[case::endless_head(StubBehaviour::EndlessHead, 0)]
+#[case::endless_interims(StubBehaviour::EndlessInterims, 0)]
+#[tokio::test]
+async fn an_answer_without_end_ends_the_run(#[case] behaviour: StubBehaviour, #[case] most: usize) {
+    let run = run_within(behaviour, 1, PartialText::default(), short_limits());
+    let end = timeout(Duration::from_secs(20), run).await.unwrap();
+    match end {
+        RunEnd::Broken(partial) => assert!(partial.events.len() <= most, "{partial:?}"),
+        RunEnd::Failed => {}
+        other => panic!("expected a broken or failed run, got {other:?}"),
+    }
+}
+
+/// Guards against slow but sound streams being cut: every pause is within the limit on silence,
+/// and the whole takes longer than any limit.
+#[tokio::test]
+async fn a_slow_but_steady_stream_is_read_to_its_end() {
+    let behaviour = StubBehaviour::StreamsSlowly(250);
+    let end = run_within(behaviour, 1, PartialText::default(), short_limits()).await;
+    let RunEnd::Completed(partial) = end else {
+        panic!("expected a complete stream, got {end:?}");
+    };
+    assert_eq!(event_texts(&partial), expected_texts(EVENT_COUNT));
+}
+
 #[rstest]
 #[case::refused(StubBehaviour::Refuses, RunEnd::Refused)]
 #[case::failed(StubBehaviour::Fails, RunEnd::Failed)]
--- a/crates/service/tests/targets/support.rs
+++ b/crates/service/tests/targets/support.rs
@@ -118,6 +118,18 @@
     RefusesConnections,
     /// Streams this number of events and closes the connection in the middle of the next one.
     BreaksAfter(u64),
+    /// Streams one event, and then a byte that belongs to no event every 20 ms for ever.
+    Dribbles,
+    /// Streams all events, each after a delay in milliseconds.
+    StreamsSlowly(u64),
+    /// Streams events without end.
+    StreamsForever,
+    /// Sends an answer with this status whose body never ends.
+    EndlessBody(u16),
+    /// Sends header fields without end.
+    EndlessHead,
+    /// Sends interim answers without end.
+    EndlessInterims,
     /// Streams all events but the second one.
     SkipsEvent,
     /// Streams all events and announces another weight version from the second one on.
@@ -196,6 +208,14 @@
     while let Some(head) = read_request(&mut stream).await {
         requests.fetch_add(1, Ordering::Relaxed);
         let id = header_value(&head, "x-id").unwrap_or_default();
+        if let Some((start, part, pause)) = endless_answer(behaviour, id) {
+            send_forever(stream, &start, part, pause).await;
+            return;
+        }
+        if let StubBehaviour::StreamsSlowly(pause_ms) = behaviour {
+            stream_slowly(&mut stream, id, Duration::from_millis(pause_ms)).await;
+            continue;
+        }
         let complete = answer("200 OK", id, true, "", "whole");
         let response = match behaviour {
             StubBehaviour::Healthy => complete,
@@ -221,6 +241,12 @@
                 format!("{complete}{}", answer("200 OK", "late", true, "", "late"))
             }
             StubBehaviour::Unstamped => answer("200 OK", id, false, "", "whole"),
+            StubBehaviour::Dribbles
+            | StubBehaviour::StreamsSlowly(_)
+            | StubBehaviour::StreamsForever
+            | StubBehaviour::EndlessBody(_)
+            | StubBehaviour::EndlessHead
+            | StubBehaviour::EndlessInterims => unreachable!("answered above"),
             StubBehaviour::BreaksAfter(_)
             | StubBehaviour::SkipsEvent
             | StubBehaviour::ChangesVersion => event_stream(&head, id, behaviour),
@@ -238,6 +264,70 @@
     }
 }
 
+/// Kind of part that an endless answer repeats: its text for each number.
+type AnswerPart = fn(u64) -> String;
+
+/// Returns the start of an endless answer, the part that it repeats and the pause between parts.
+fn endless_answer(behaviour: StubBehaviour, id: &str) -> Option<(String, AnswerPart, Duration)> {
+    let head = |status: u16| {
+        format!("HTTP/1.1 {status} Status\r\nx-id: {id}\r\nx-stamp: s\r\nx-version: 1\r\n")
+    };
+    let body = |status: u16| format!("{}connection: close\r\n\r\n", head(status));
+    Some(match behaviour {
+        StubBehaviour::Dribbles => {
+            let start = format!("{}id: 0\ndata: piece 0\n\n", body(200));
+            (start, |_| ":".to_owned(), Duration::from_millis(20))
+        }
+        StubBehaviour::StreamsForever => {
+            let part = |number| format!("id: {number}\ndata: {}\n\n", "x".repeat(1_000));
+            (body(200), part, Duration::ZERO)
+        }
+        StubBehaviour::EndlessBody(status) => {
+            (body(status), |_| "x".repeat(16_384), Duration::ZERO)
+        }
+        StubBehaviour::EndlessHead => {
+            let part = |number| format!("x-field-{number}: {}\r\n", "x".repeat(100));
+            (head(200), part, Duration::ZERO)
+        }
+        StubBehaviour::EndlessInterims => {
+            let part = |_| "HTTP/1.1 102 Processing\r\n\r\n".to_owned();
+            (String::new(), part, Duration::ZERO)
+        }
+        _ => return None,
+    })
+}
+
+/// Sends parts until the peer closes the connection.
+async fn send_forever(mut stream: TcpStream, start: &str, part: AnswerPart, pause: Duration) {
+    if stream.write_all(start.as_bytes()).await.is_err() {
+        return;
+    }
+    for number in 0.. {
+        if stream.write_all(part(number).as_bytes()).await.is_err() {
+            return;
+        }
+        if !pause.is_zero() {
+            sleep(pause).await;
+        }
+    }
+}
+
+/// Sends a complete stream in chunks, with a pause before each event.
+async fn stream_slowly(stream: &mut TcpStream, id: &str, pause: Duration) {
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-stamp: s\r\nx-version: 1\r\n\
+         transfer-encoding: chunked\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).await.ok();
+    for event in 0..EVENT_COUNT {
+        sleep(pause).await;
+        let text = format!("id: {event}\ndata: piece {event}\n\n");
+        let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+        stream.write_all(chunk.as_bytes()).await.ok();
+    }
+    stream.write_all(b"0\r\n\r\n").await.ok();
+}
+
 /// Returns a response with the events that follow the one named in the request.
 fn event_stream(head: &str, id: &str, behaviour: StubBehaviour) -> String {
     let first = header_value(head, "x-last").map_or(0, |last| last.parse::<u64>().unwrap() + 1);
