--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -9,6 +9,7 @@
 mod core;
 mod duties;
 mod lead;
+mod orders;
 mod outputs;
 mod peers;
 mod repair;
--- /dev/null
+++ b/crates/service/src/keeper/orders.rs
@@ -0,0 +1,245 @@
+//! Weight orders: the leader makes engines load the versions that open jobs allow.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use http::StatusCode;
+
+use super::KeeperEvent;
+use super::core::KeeperCore;
+use super::duties::DutyFailure;
+use super::duties::send_duty;
+use super::lead::LeaderState;
+use crate::dialect::TargetDialect;
+use crate::metrics::METRICS;
+use crate::registry::TargetStage;
+use crate::turns::DutySubject;
+use crate::weights::OrderAnswer;
+use crate::weights::OrderReport;
+use crate::weights::WeightStep;
+use crate::weights::WeightTarget;
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_storage::clock::now;
+
+/// Time for which an accepted weight order counts as the engine's version, so that it is not sent
+/// again, in milliseconds.
+const ACCEPTED_ORDER_RETENTION_MS: u64 = 3_000;
+
+/// Time after an accepted weight order at which the engine is assumed to have the version, in
+/// milliseconds.
+const LOAD_ASSUMED_AFTER_MS: u64 = 910;
+
+/// Maps the response to a weight order, or its failure, to an [`OrderAnswer`].
+fn order_answer(result: &Result<(StatusCode, Bytes), DutyFailure>) -> OrderAnswer {
+    match result {
+        Ok((status, _)) => match status.as_u16() {
+            202 => OrderAnswer::Taken,
+            200 => OrderAnswer::Holds,
+            409 => OrderAnswer::Conflict,
+            412 => OrderAnswer::Fenced,
+            _ => OrderAnswer::Refused,
+        },
+        Err(DutyFailure::NotSent) => OrderAnswer::Refused,
+        Err(DutyFailure::Unclear) => OrderAnswer::Unclear,
+    }
+}
+
+/// Returns the models of all ready engines, each with its announced version or the one that the
+/// engine accepted an order for, whichever is newer.
+fn weight_targets(lead: &LeaderState) -> Vec<WeightTarget> {
+    let busy = &lead.scheduler.busy_models();
+    let ready = lead
+        .registry
+        .iter()
+        .filter(|(_, entry)| entry.stage == TargetStage::Ready);
+    let models = ready.flat_map(|(id, entry)| {
+        let models = entry.announcement.models.iter();
+        models.map(move |(model, version)| (id, entry.announcement.born, model, *version))
+    });
+    models
+        .map(|(id, born, model, version)| {
+            let ordered = lead
+                .accepted_orders
+                .get(id)
+                .filter(|(it, _, _)| it == model);
+            let ordered = ordered.map_or(0, |(_, version, _)| *version);
+            WeightTarget {
+                id: id.clone(),
+                born,
+                model: model.clone(),
+                version: ordered.max(version),
+                is_busy: busy.contains(&(id.as_str(), model.as_str())),
+            }
+        })
+        .collect()
+}
+
+impl<D: TargetDialect> KeeperCore<D> {
+    /// Sends the weight orders and queries that are due for the versions that open jobs allow.
+    pub(super) fn order_weights(&mut self, time: ClockTime) {
+        self.assume_loaded_versions(time);
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let targets = weight_targets(lead);
+        let mut min_versions = BTreeMap::new();
+        for (_, constraints) in lead.scheduler.jobs() {
+            let min_version = min_versions.entry(constraints.model.clone()).or_insert(0);
+            *min_version = constraints.min_version.max(*min_version);
+        }
+        let steps = lead
+            .weights
+            .next_steps(time, &targets, &self.state.weights, &min_versions);
+        for step in steps {
+            if self.take_turn(time, &step) {
+                self.execute_weight_step(step);
+            }
+        }
+    }
+
+    /// Records that this keeper acts on a step's engine, and returns true. If an order would come
+    /// too soon after another holder's, the planner is told that it was refused.
+    fn take_turn(&mut self, time: ClockTime, step: &WeightStep) -> bool {
+        let (WeightStep::Order { id, born, .. }, Some(lead)) = (step, &mut self.lead) else {
+            return true;
+        };
+        let subject = DutySubject::Engine(id.clone());
+        let may_act = self.turns.may_act(time, &subject, lead.term);
+        if may_act {
+            self.turns.record(time, subject, lead.term);
+        } else {
+            lead.weights
+                .record_answer(time, id, *born, OrderAnswer::Refused);
+        }
+        may_act
+    }
+
+    /// Records the versions of accepted orders for engines whose load must be complete by now.
+    fn assume_loaded_versions(&mut self, time: ClockTime) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        for (id, (model, version, at)) in &lead.accepted_orders {
+            let known = lead
+                .registry
+                .get(id)
+                .and_then(|it| it.announcement.models.get(model));
+            let is_older = known.is_some_and(|it| it < version);
+            if is_older && time.since(*at) >= LOAD_ASSUMED_AFTER_MS {
+                lead.registry.set_version(id, model, *version);
+            }
+        }
+        lead.accepted_orders
+            .retain(|_, (_, _, at)| time.since(*at) < ACCEPTED_ORDER_RETENTION_MS);
+    }
+
+    /// Sends an order or a query to an engine; the outcome arrives as a [`KeeperEvent`].
+    fn execute_weight_step(&mut self, step: WeightStep) {
+        let (Some(holder), Some(lead)) = (self.holder(), &self.lead) else {
+            return;
+        };
+        let (WeightStep::Order { id, born, .. } | WeightStep::Inspect { id, born }) = &step;
+        let (id, born) = (id.clone(), *born);
+        let Some(entry) = lead.registry.get(&id) else {
+            return;
+        };
+        let address = entry.announcement.address;
+        let service = entry.announcement.service.clone();
+        let (pool, lease) = (Arc::clone(&self.pool), self.lease.clone());
+        let (dialect, events) = (self.dialect.clone(), self.events.clone());
+        match step {
+            WeightStep::Inspect { .. } => {
+                let call = dialect.order_state(&id);
+                self.runtime.spawn(async move {
+                    let result = send_duty(&pool, &lease, address, call).await;
+                    let report = match result {
+                        Ok((status, body)) if status.is_success() => {
+                            dialect.read_order_state(&body)
+                        }
+                        _ => None,
+                    };
+                    let event = KeeperEvent::EngineInspected { id, born, report };
+                    events.send(event).ok();
+                });
+            }
+            WeightStep::Order {
+                model,
+                version,
+                expect,
+                ..
+            } => {
+                let keep_runs = !self.requires_single_version(&service);
+                let call = dialect.weight_order(&holder, &id, &model, version, expect, keep_runs);
+                self.runtime.spawn(async move {
+                    let result = send_duty(&pool, &lease, address, call).await;
+                    let answer = order_answer(&result);
+                    spdlog::info!("weights: ordered", kv: {
+                        target = id.as_str(),
+                        version,
+                        expect,
+                        fence = holder.fence,
+                        answer = format!("{answer:?}"),
+                    });
+                    let event = KeeperEvent::WeightsOrdered {
+                        id,
+                        born,
+                        model,
+                        version,
+                        answer,
+                    };
+                    events.send(event).ok();
+                });
+            }
+        }
+    }
+
+    /// Returns whether a route to the service requires texts from a single weight version.
+    fn requires_single_version(&self, service: &str) -> bool {
+        let Some(record) = &self.state.plan else {
+            return false;
+        };
+        let mut routes = record.plan.routes.iter();
+        routes.any(|it| it.single_version && it.uses(service))
+    }
+
+    pub(super) fn on_weights_ordered(
+        &mut self,
+        id: &str,
+        born: u64,
+        model: &str,
+        version: u64,
+        answer: OrderAnswer,
+    ) {
+        let time = now();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let label = format!("{answer:?}").to_lowercase();
+        METRICS.weight_orders.with_label_values(&[&label]).inc();
+        lead.weights.record_answer(time, id, born, answer);
+        match answer {
+            OrderAnswer::Taken => {
+                let order = (model.to_owned(), version, time);
+                lead.accepted_orders.insert(id.to_owned(), order);
+            }
+            OrderAnswer::Holds => lead.registry.set_version(id, model, version),
+            _ => {}
+        }
+    }
+
+    pub(super) fn on_engine_inspected(
+        &mut self,
+        id: &str,
+        born: u64,
+        report: Option<&OrderReport>,
+    ) {
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        lead.weights.record_report(now(), id, born, report);
+        for (model, version) in report.iter().flat_map(|it| &it.models) {
+            lead.registry.set_version(id, model, *version);
+        }
+    }
+}
