Score a running item although its job's route is removed

Cause: the queue of reward calls asked the plan in force for the constraints of the item's job. If a plan without the job's route came while the item ran, there were none, and the complete text was dropped: the item neither ran again nor was it listed before the next leader.

Change: the constraints are those with which the scheduler admitted the job. The route of a reward call is looked up by a function of its module.

--- a/crates/service/src/keeper/scoring.rs
+++ b/crates/service/src/keeper/scoring.rs
@@ -64,10 +64,10 @@
 
     /// Queues the reward call of an item whose text is complete.
     pub(super) fn queue_score(&mut self, time: ClockTime, unscored: UnscoredText) {
-        let Some(constraints) = self.constraints_of(&unscored.job) else {
-            return;
-        };
-        let (Some(record), Some(reward)) = (
+        let scheduler = self.lead.as_ref().map(|it| &it.scheduler);
+        let constraints = scheduler.and_then(|it| it.constraints(&unscored.job));
+        let (Some(constraints), Some(record), Some(reward)) = (
+            constraints.cloned(),
             self.state.jobs.get(&unscored.job),
             reward_of(&self.state.jobs, &unscored.job, unscored.item),
         ) else {
@@ -76,7 +76,7 @@
         let route = self
             .routes
             .as_deref()
-            .and_then(|it| it.reward_route(reward));
+            .and_then(|it| reward_route(it, reward));
         let route_attempts = route.map_or(0, |it| it.max_attempts);
         let submission = &record.submission;
         let text_key = TextKey {
@@ -176,7 +176,7 @@
         let task = lead.scores.get(key)?;
         let reward = reward_of(&self.state.jobs, &task.job, task.item)?;
         let routes = self.routes.as_deref()?;
-        let route = routes.reward_route(reward)?;
+        let route = reward_route(routes, reward)?;
         let service = reward_service(route, reward)?;
         let cold_per_s = routes.service(&service).map_or(0.0, |it| it.cold_per_s);
         let mut headers = HeaderMap::new();
@@ -220,7 +220,7 @@
             (None, _) => "server error",
         };
         METRICS.reward_calls.with_label_values(&[outcome]).inc();
-        let took_ms = lead.scores.age_ms(time, key);
+        let since_text_ms = lead.scores.age_ms(time, key);
         if let Some(task) = lead.scores.get(key).filter(|_| end.score.is_none()) {
             spdlog::info!("reward: call failed", kv: {
                 job = task.job.as_str(),
@@ -229,11 +229,13 @@
                 service = task.service.as_deref().unwrap_or_default(),
                 outcome,
                 server_errors = end.server_errors,
-                since_text_ms = took_ms,
+                since_text_ms,
             });
         }
         if let Some((job, result)) = lead.scores.finish_call(time, key, end) {
-            METRICS.score_seconds.observe(took_ms as f64 / 1_000.0);
+            METRICS
+                .score_seconds
+                .observe(since_text_ms as f64 / 1_000.0);
             lead.results.push((job, result));
         }
     }
@@ -244,7 +246,7 @@
         if let Some(lead) = &mut self.lead {
             lead.scores.set_services(|task| {
                 let reward = reward_of(jobs, &task.job, task.item)?;
-                reward_service(routes?.reward_route(reward)?, reward)
+                reward_service(reward_route(routes?, reward)?, reward)
             });
         }
     }
@@ -271,6 +273,12 @@
     reward_of(jobs, &task.job, task.item).map_or("", |it| it.id.as_str())
 }
 
+/// Returns the route of a reward call.
+fn reward_route<'a>(routes: &'a RouteIndex, reward: &RewardCall) -> Option<&'a RouteRule> {
+    let path = reward.path.split('?').next().unwrap_or_default();
+    routes.route(&reward.host, path)
+}
+
 /// Returns the service of a route that a reward call goes to; calls with the same ID go to the
 /// same one.
 fn reward_service(route: &RouteRule, reward: &RewardCall) -> Option<String> {
@@ -290,11 +298,3 @@
         server_errors: report.server_errors,
     }
 }
-
-impl RouteIndex {
-    /// Returns the route of a reward call.
-    fn reward_route(&self, reward: &RewardCall) -> Option<&RouteRule> {
-        let path = reward.path.split('?').next().unwrap_or_default();
-        self.route(&reward.host, path)
-    }
-}
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -120,6 +120,11 @@
         self.jobs.contains_key(job)
     }
 
+    /// Returns the constraints of a job that was added and not dropped since.
+    pub fn constraints(&self, job: &str) -> Option<&JobConstraints> {
+        self.jobs.get(job).map(|it| &it.constraints)
+    }
+
     /// Sets the service that later runs of a job go to; runs in progress continue.
     pub fn set_service(&mut self, job: &str, service: &str) {
         if let Some(queue) = self.jobs.get_mut(job)
