--- a/crates/service/src/directory.rs
+++ b/crates/service/src/directory.rs
@@ -73,17 +73,17 @@
 
     /// Returns the keepers to link to first, which linked processes are told: the seeds and members,
     /// or, while no member is known, everything heard of.
-    pub fn core(&self) -> BTreeSet<SocketAddr> {
-        let mut core: BTreeSet<SocketAddr> = self.seeds.union(&self.members).copied().collect();
+    pub fn primary_peers(&self) -> BTreeSet<SocketAddr> {
+        let mut primary: BTreeSet<SocketAddr> = self.seeds.union(&self.members).copied().collect();
         if self.members.is_empty() {
-            core.extend(self.known.keys());
+            primary.extend(self.known.keys());
         }
-        core
+        primary
     }
 
     /// Returns the addresses to link to now.
     pub fn peers(&self, now: ClockTime) -> BTreeSet<SocketAddr> {
-        let mut peers = self.core();
+        let mut peers = self.primary_peers();
         let leaderless_ms = self.leaderless_since.map_or(0, |it| now.since(it));
         let round = leaderless_ms / ROUND_MS;
         if round > 0 {
--- a/crates/service/src/keeper/peers.rs
+++ b/crates/service/src/keeper/peers.rs
@@ -19,14 +19,14 @@
     /// Passes the addresses of the keepers to link to to the link hub, and tells linked processes of
     /// those to link to first if they have changed.
     pub(super) fn update_peers(&mut self) {
-        let core = self.directory.core();
-        if core != self.hello.keepers {
-            self.hello.keepers.clone_from(&core);
-            let frame = codec::encode(&LinkFrame::Keepers(core.clone()));
+        let keepers = self.directory.primary_peers();
+        if keepers != self.hello.keepers {
+            self.hello.keepers.clone_from(&keepers);
+            let frame = codec::encode(&LinkFrame::Keepers(keepers.clone()));
             for link in self.links.keys() {
                 self.hub.send_encoded(*link, frame.clone());
             }
-            self.hub.update_hello(|it| it.keepers = core);
+            self.hub.update_hello(|it| it.keepers = keepers);
         }
         let _runtime = self.runtime.enter();
         self.hub.set_peers(self.directory.peers(now()));
--- a/crates/service/tests/directory.rs
+++ b/crates/service/tests/directory.rs
@@ -111,8 +111,8 @@
             };
             if links.insert((from, to)) {
                 let (dialler, acceptor) = (
-                    processes[from].directory.core(),
-                    processes[to].directory.core(),
+                    processes[from].directory.primary_peers(),
+                    processes[to].directory.primary_peers(),
                 );
                 let own = processes[from].own;
                 processes[to].directory.learn(now, own);
@@ -127,14 +127,14 @@
         return;
     }
     for from in 0..processes.len() {
-        let core = processes[from].directory.core();
-        if processes[from].own.is_none() || core == processes[from].told {
+        let keepers = processes[from].directory.primary_peers();
+        if processes[from].own.is_none() || keepers == processes[from].told {
             continue;
         }
-        processes[from].told = core.clone();
+        processes[from].told = keepers.clone();
         for (a, b) in links.iter().filter(|(a, b)| *a == from || *b == from) {
             let other = if *a == from { *b } else { *a };
-            processes[other].directory.learn(now, core.clone());
+            processes[other].directory.learn(now, keepers.clone());
         }
     }
 }
