Announce members, not every keeper that was heard of

Change: keepers tell the members alone, over each new link and whenever they change; a process takes them over while it knows no member or no leader.

--- a/crates/service/src/directory.rs
+++ b/crates/service/src/directory.rs
@@ -71,19 +71,32 @@
         };
     }
 
-    /// Returns the keepers to link to first, which linked processes are told: the seeds and members,
-    /// or, while no member is known, everything heard of.
-    pub fn primary_peers(&self) -> BTreeSet<SocketAddr> {
-        let mut primary: BTreeSet<SocketAddr> = self.seeds.union(&self.members).copied().collect();
-        if self.members.is_empty() {
-            primary.extend(self.known.keys());
+    /// Takes over the members that another keeper reports, unless this process knows a leader, whose
+    /// views are more recent, or members of its own.
+    pub fn hear_members(&mut self, members: BTreeSet<SocketAddr>) {
+        if self.members.is_empty() || self.leaderless_since.is_some() {
+            self.set_members(members);
         }
-        primary
+    }
+
+    /// Returns the members of the consensus group, as far as they are known.
+    pub fn members(&self) -> &BTreeSet<SocketAddr> {
+        &self.members
+    }
+
+    /// Returns the keepers to link to first: the seeds and members.
+    pub fn primary_peers(&self) -> BTreeSet<SocketAddr> {
+        self.seeds.union(&self.members).copied().collect()
     }
 
     /// Returns the addresses to link to now.
     pub fn peers(&self, now: ClockTime) -> BTreeSet<SocketAddr> {
         let mut peers = self.primary_peers();
+        // Before the members are known, what other processes tell is all there is.
+        if self.members.is_empty() {
+            peers.extend(self.known.keys());
+            return peers;
+        }
         let leaderless_ms = self.leaderless_since.map_or(0, |it| now.since(it));
         let round = leaderless_ms / ROUND_MS;
         if round > 0 {
--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -255,8 +255,8 @@
                 }
                 self.calls.answer(id, reply);
             }
-            LinkFrame::Keepers(keepers) => {
-                self.directory.learn(now(), keepers);
+            LinkFrame::Members(members) => {
+                self.directory.hear_members(members);
                 self.update_peers();
             }
             LinkFrame::Hello(_)
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -187,10 +187,10 @@
     },
     /// Update of the leader's view.
     View(Box<ViewFrame>),
-    /// Link addresses of the keepers to link to first, sent by a keeper whenever they change. After
-    /// a restart of all processes, the seeds may be the only ones that everybody knows, and have to
-    /// hear of the members first themselves.
-    Keepers(BTreeSet<SocketAddr>),
+    /// Link addresses of the members of the consensus group, sent by a keeper on each new link and
+    /// whenever they change. After a restart of all processes, the seeds may be the only ones that
+    /// everybody knows, and have to hear of the members first themselves.
+    Members(BTreeSet<SocketAddr>),
     /// Usage that a process has counted.
     Usage {
         /// ID of the process, as in [`HelloFrame::run`].
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -1,7 +1,9 @@
 //! State and event loop of the control thread.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -131,6 +133,8 @@
     pub(super) directory: KeeperDirectory,
     /// Time at which expired connections and calls are dropped next.
     prune_due: ClockTime,
+    /// Members that linked processes were last told of.
+    pub(super) sent_members: BTreeSet<SocketAddr>,
     /// Time of the next update of the links.
     pub(super) peers_due: ClockTime,
     /// Proposed changes by log index.
@@ -229,6 +233,7 @@
             links: BTreeMap::new(),
             directory,
             prune_due: time,
+            sent_members: BTreeSet::new(),
             peers_due: time,
             pending: BTreeMap::new(),
             calls: PendingCalls::default(),
@@ -340,8 +345,8 @@
             }
             LinkFrame::Usage { process, sums } => self.tally.merge(process, sums),
             LinkFrame::Texts(deltas) => self.receive_texts(deltas),
-            LinkFrame::Keepers(keepers) => {
-                self.directory.learn(now(), keepers);
+            LinkFrame::Members(members) => {
+                self.directory.hear_members(members);
                 self.update_peers();
             }
             LinkFrame::Hello(_) => {}
--- a/crates/service/src/keeper/peers.rs
+++ b/crates/service/src/keeper/peers.rs
@@ -17,17 +17,17 @@
 
 impl<D: TargetDialect> KeeperCore<D> {
     /// Passes the addresses of the keepers to link to to the link hub, and tells linked processes of
-    /// those to link to first if they have changed.
+    /// the members if they have changed.
     pub(super) fn update_peers(&mut self) {
-        let keepers = self.directory.primary_peers();
-        if keepers != self.hello.keepers {
-            self.hello.keepers.clone_from(&keepers);
-            let frame = codec::encode(&LinkFrame::Keepers(keepers.clone()));
+        if *self.directory.members() != self.sent_members {
+            self.sent_members.clone_from(self.directory.members());
+            let frame = codec::encode(&LinkFrame::Members(self.sent_members.clone()));
             for link in self.links.keys() {
                 self.hub.send_encoded(*link, frame.clone());
             }
-            self.hub.update_hello(|it| it.keepers = keepers);
         }
+        let primary = self.directory.primary_peers();
+        self.hub.update_hello(|it| it.keepers = primary);
         let _runtime = self.runtime.enter();
         self.hub.set_peers(self.directory.peers(now()));
     }
@@ -56,6 +56,10 @@
             self.directory.learn(time, hello.keepers.iter().copied());
         }
         self.links.insert(link, (hello, dialled));
+        if !self.sent_members.is_empty() {
+            let members = self.sent_members.clone();
+            self.hub.send(link, &LinkFrame::Members(members));
+        }
         self.update_peers();
         self.mark_replaced_voters(link);
         self.send_leadership_status(link);
--- a/crates/service/tests/directory.rs
+++ b/crates/service/tests/directory.rs
@@ -87,15 +87,15 @@
     assert_eq!(directory.peers(START), addresses(0..8));
 }
 
-/// Process of a model cluster: its directory, its own address if it is a keeper, and what it last
-/// told its links.
+/// Process of a model cluster: its directory, its own address if it is a keeper, and the members
+/// that it last told its links.
 struct ModelProcess {
     directory: KeeperDirectory,
     own: Option<SocketAddr>,
     told: BTreeSet<SocketAddr>,
 }
 
-/// Lets a process dial its peers and tell linked keepers and entries of the keepers it knows. With
+/// Lets each process dial its peers, and each keeper tell its links of members. With
 /// `tells_changes` unset, a link carries what its ends know when it comes up, and nothing later.
 fn play_round(
     processes: &mut [ModelProcess],
@@ -106,35 +106,34 @@
     for from in 0..processes.len() {
         for peer in processes[from].directory.peers(now) {
             let to = processes.iter().position(|it| it.own == Some(peer));
-            let Some(to) = to.filter(|it| *it != from) else {
+            let Some(to) = to.filter(|it| *it != from && links.insert((from, *it))) else {
                 continue;
             };
-            if links.insert((from, to)) {
-                let (dialler, acceptor) = (
-                    processes[from].directory.primary_peers(),
-                    processes[to].directory.primary_peers(),
-                );
-                let own = processes[from].own;
-                processes[to].directory.learn(now, own);
-                if own.is_some() {
-                    processes[to].directory.learn(now, dialler);
-                }
-                processes[from].directory.learn(now, acceptor);
+            for (teller, hearer) in [(from, to), (to, from)] {
+                let Some(own) = processes[teller].own else {
+                    continue;
+                };
+                let primary = processes[teller].directory.primary_peers();
+                let members = processes[teller].directory.members().clone();
+                let hearer = &mut processes[hearer].directory;
+                hearer.learn(now, primary.into_iter().chain([own]));
+                hearer.hear_members(members);
             }
         }
     }
-    if !tells_changes {
-        return;
-    }
-    for from in 0..processes.len() {
-        let keepers = processes[from].directory.primary_peers();
-        if processes[from].own.is_none() || keepers == processes[from].told {
+    for from in (0..processes.len()).filter(|_| tells_changes) {
+        let members = processes[from].directory.members().clone();
+        if processes[from].own.is_none() || members == processes[from].told {
             continue;
         }
-        processes[from].told = keepers.clone();
-        for (a, b) in links.iter().filter(|(a, b)| *a == from || *b == from) {
-            let other = if *a == from { *b } else { *a };
-            processes[other].directory.learn(now, keepers.clone());
+        processes[from].told.clone_from(&members);
+        for (dialler, acceptor) in links.iter() {
+            if *dialler == from {
+                processes[*acceptor].directory.hear_members(members.clone());
+            }
+            if *acceptor == from {
+                processes[*dialler].directory.hear_members(members.clone());
+            }
         }
     }
 }
@@ -176,3 +175,40 @@
     assert_eq!(reachable_after_restart(true), 60);
     assert!(reachable_after_restart(false) < 60);
 }
+
+/// Guards against links to every keeper that come from the start, when keepers that are no members
+/// have only heard of one another.
+#[test]
+fn a_cluster_that_starts_has_no_more_links_than_one_that_runs() {
+    let seeds = addresses(0..3);
+    let mut processes: Vec<ModelProcess> = (0..145)
+        .map(|number| ModelProcess {
+            directory: KeeperDirectory::new(START, &format!("p{number}"), seeds.clone()),
+            own: (number >= 100).then(|| address(number - 100)),
+            told: BTreeSet::new(),
+        })
+        .collect();
+    let mut links = BTreeSet::new();
+    for round in 0..8 {
+        play_round(&mut processes, &mut links, true);
+        if round == 3 {
+            for seed in 0..3 {
+                processes[100 + seed].directory.set_members(seeds.clone());
+            }
+        }
+    }
+    for entry in 0..100 {
+        let count = links.iter().filter(|(from, _)| *from == entry).count();
+        assert!(count <= 8, "entry {entry} has {count} links");
+    }
+}
+
+#[test]
+fn members_that_others_report_yield_to_those_of_a_known_leader() {
+    let mut directory = directory(10);
+    directory.hear_members(addresses(20..25));
+    assert_eq!(directory.members(), &addresses(3..8));
+    directory.set_leader_known(START, false);
+    directory.hear_members(addresses(20..25));
+    assert_eq!(directory.members(), &addresses(20..25));
+}
