Ignore late announcements of targets that leave

Cause: a new leader took an announcement that was under way when its target left for a new one, since only the leader that confirmed the departure remembered it.

Change: an announcement of a start that the replicated state records as leaving is ignored unless it says so itself.

Test: a target departs, the leader is killed, and a late announcement arrives: the look-up was answered by the departed target before (200), and is refused after (503).

--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -122,7 +122,9 @@
         };
         let (id, born) = (announcement.id.clone(), announcement.born);
         let draining = announcement.is_draining;
-        if has_service {
+        // An announcement that was under way when its target left must not bring it back.
+        let is_late = !draining && self.state.is_leaving(&id, born, false);
+        if has_service && !is_late {
             let effect = lead.registry.announce(now(), announcement);
             match effect {
                 AnnouncementEffect::Changed => {
