--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -211,6 +211,7 @@
 
     pub(super) fn on_members_changed(&mut self) {
         self.restart_text_replication();
+        self.log_members();
         self.directory.set_members(self.member_addresses());
         self.update_peers();
         if let Some(lead) = &mut self.lead {
@@ -218,6 +219,23 @@
         }
     }
 
+    fn log_members(&self) {
+        let Some(voter) = &self.voter else {
+            return;
+        };
+        let membership = voter.node.membership();
+        let mut voters: Vec<&str> = membership
+            .voters
+            .values()
+            .map(|it| it.name.as_str())
+            .collect();
+        voters.sort_unstable();
+        spdlog::info!("consensus: members changed", kv: {
+            voters = voters.join(","),
+            learners = membership.learners.len(),
+        });
+    }
+
     /// Returns the effect that a change will have on the leader's work.
     pub(super) fn effect_of(&self, command: &StateCommand) -> ChangeEffect {
         match command {
