--- a/crates/policy/examples/choice.rs
+++ b/crates/policy/examples/choice.rs
@@ -6,7 +6,6 @@
 
 use std::hint::black_box;
 use std::sync::Arc;
-use std::time::Instant;
 
 use rand::RngExt;
 use rand::SeedableRng;
@@ -18,8 +17,9 @@
 use bergamotlane_policy::targets::ChoiceTarget;
 use bergamotlane_policy::targets::TargetChooser;
 use bergamotlane_policy::targets::TargetCounters;
+use bergamotlane_storage::clock::now;
 
-const ROUNDS: u32 = 200_000;
+const ROUNDS: u32 = 2_000_000;
 const SEED: u64 = 20_261_204;
 
 fn main() {
@@ -41,7 +41,7 @@
             });
         }
         let affinity = AffinityTable::default();
-        let started = Instant::now();
+        let started = now();
         for _ in 0..ROUNDS {
             let request = ChoiceRequest {
                 prefix: random.random_range(1..10_000),
@@ -55,7 +55,8 @@
                 affinity.set(request.prefix, target.identity);
             }
         }
-        let nanos = started.elapsed().as_nanos() as f64 / f64::from(ROUNDS);
+        let elapsed_ms = now().since(started) as f64;
+        let nanos = elapsed_ms * 1_000_000.0 / f64::from(ROUNDS);
         println!("{{\"figure\":\"choice_{count}\",\"value\":{nanos:.0},\"unit\":\"ns\"}}");
     }
 }
--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -10,12 +10,9 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use http::HeaderMap;
-use http::Method;
 use http::Request;
 use http::StatusCode;
 use http_body_util::BodyExt;
@@ -28,6 +25,10 @@
 use crate::dialect::RequestMetadata;
 use crate::dialect::TargetDialect;
 use crate::metrics::METRICS;
+use crate::plain::ForwardReport;
+use crate::plain::PlainAnswer;
+use crate::plain::PlainOutcome;
+use crate::plain::PlainRequest;
 use crate::plan::RouteKind;
 use crate::pool::SendError;
 use crate::pool::TargetPool;
@@ -53,74 +54,6 @@
 /// Largest body of an answer, in bytes; the complete body is buffered.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
-/// Request to forward to a target of a plain service.
-#[derive(Debug, Clone)]
-pub struct PlainRequest {
-    /// ID of the request, which the target echoes in its answer.
-    pub id: String,
-    /// HTTP method.
-    pub method: Method,
-    /// Path and query as the caller sent them.
-    pub path: String,
-    /// Headers to forward.
-    pub headers: HeaderMap,
-    /// Request body.
-    pub body: Bytes,
-    /// Customer to whom the request is charged, if the plan names any.
-    pub customer: Option<String>,
-    /// Name of the service that handles the request.
-    pub service: String,
-    /// Kind of the route, which determines whether the request may run more than once.
-    pub kind: RouteKind,
-    /// Largest number of targets that may run the request.
-    pub max_attempts: u32,
-    /// Latency target of the route, in milliseconds; it sets when the request is hedged.
-    pub latency_target_ms: u64,
-    /// Deadline for the answer.
-    pub limit: ClockTime,
-    /// Shortest interval between two requests from this instance to the same cold target, in
-    /// milliseconds; `None` excludes cold targets.
-    pub cold_pause_ms: Option<u64>,
-    /// Number of slots of each target that the request leaves free, or `None` if the target's own
-    /// queue limits the requests.
-    pub reserved_slots: Option<u32>,
-}
-
-/// Complete answer of a target.
-#[derive(Debug)]
-pub struct PlainAnswer {
-    /// HTTP status.
-    pub status: StatusCode,
-    /// Stamp of the target, if there is one.
-    pub stamp: Option<String>,
-    /// Headers as the target sent them.
-    pub headers: HeaderMap,
-    /// Answer body.
-    pub body: Bytes,
-}
-
-/// Outcome of forwarding a request.
-#[derive(Debug)]
-pub enum PlainOutcome {
-    /// A target answered.
-    Answered(PlainAnswer),
-    /// The request did not run and never will.
-    NotRun,
-    /// The targets failed; the request may have run.
-    Failed,
-    /// The deadline passed; the request may have run.
-    Late,
-}
-
-/// What became of a forwarded request.
-#[derive(Debug)]
-pub struct ForwardReport {
-    /// Outcome of the request.
-    pub outcome: PlainOutcome,
-    /// Number of targets that answered with an internal server error.
-    pub server_errors: u32,
-}
-
 /// What the tries of a request have shown so far.
 #[derive(Debug, Default)]
 struct ForwardTally {
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -114,21 +114,6 @@
     forget_due: ClockTime,
 }
 
-/// Effect of an applied change on the leader's work, besides the change of the state.
-#[derive(Debug)]
-pub(super) enum ChangeEffect {
-    /// No effect.
-    Nothing,
-    /// The plan or the evacuated zones changed.
-    ViewChanged,
-    /// A job was submitted.
-    JobAdded(String),
-    /// Results of these jobs were listed.
-    ResultsListed(Vec<String>),
-    /// The caller ended a job.
-    JobEnded(String),
-}
-
 impl<D: TargetDialect> KeeperCore<D> {
     /// Creates the leader's state for a term that this keeper was elected for. It starts to act
     /// only in [`Self::activate_leadership`].
@@ -236,54 +221,6 @@
         });
     }
 
-    /// Returns the effect that a change will have on the leader's work.
-    pub(super) fn effect_of(&self, command: &StateCommand) -> ChangeEffect {
-        match command {
-            StateCommand::ReplacePlan { .. }
-            | StateCommand::Evacuate(_)
-            | StateCommand::Restore(_) => ChangeEffect::ViewChanged,
-            StateCommand::Submit(submission) => ChangeEffect::JobAdded(submission.id.clone()),
-            StateCommand::List(results) => {
-                let mut jobs: Vec<String> = results.iter().map(|(job, _)| job.clone()).collect();
-                jobs.dedup();
-                ChangeEffect::ResultsListed(jobs)
-            }
-            StateCommand::EndJob(job) => ChangeEffect::JobEnded(job.clone()),
-            _ => ChangeEffect::Nothing,
-        }
-    }
-
-    pub(super) fn apply_effect(&mut self, effect: ChangeEffect) {
-        if !self.lead.as_ref().is_some_and(|it| it.active) {
-            return;
-        }
-        match effect {
-            ChangeEffect::Nothing => {}
-            ChangeEffect::ViewChanged => {
-                if let Some(lead) = &mut self.lead {
-                    lead.changes.plan = true;
-                    lead.changes.zones = true;
-                }
-                self.reroute_jobs();
-                self.reroute_rewards();
-                self.update_chooser(now());
-                self.push_views();
-            }
-            ChangeEffect::JobAdded(job) => self.admit_job(&job),
-            ChangeEffect::ResultsListed(jobs) => {
-                for job in jobs {
-                    self.answer_waiters(Some(&job));
-                    self.drop_settled(&job);
-                }
-            }
-            ChangeEffect::JobEnded(job) => {
-                self.log_ended(&job);
-                self.stop_job(&job);
-                self.answer_waiters(Some(&job));
-            }
-        }
-    }
-
     /// Updates the lease, then does the leader's periodic work, or suspends it while this keeper is
     /// not the confirmed leader.
     pub(super) fn leader_tick(&mut self) {
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -26,6 +26,7 @@
 mod parts;
 pub mod payload;
 mod placement;
+pub mod plain;
 pub mod plan;
 pub mod pool;
 pub mod registry;
--- /dev/null
+++ b/crates/service/src/plain.rs
@@ -0,0 +1,77 @@
+//! Requests to targets of plain services, and their outcomes.
+
+use bytes::Bytes;
+use http::HeaderMap;
+use http::Method;
+use http::StatusCode;
+
+use crate::plan::RouteKind;
+use bergamotlane_coordination::clock::ClockTime;
+
+/// Request to forward to a target of a plain service.
+#[derive(Debug, Clone)]
+pub struct PlainRequest {
+    /// ID of the request, which the target echoes in its answer.
+    pub id: String,
+    /// HTTP method.
+    pub method: Method,
+    /// Path and query as the caller sent them.
+    pub path: String,
+    /// Headers to forward.
+    pub headers: HeaderMap,
+    /// Request body.
+    pub body: Bytes,
+    /// Customer to whom the request is charged, if the plan names any.
+    pub customer: Option<String>,
+    /// Name of the service that handles the request.
+    pub service: String,
+    /// Kind of the route, which determines whether the request may run more than once.
+    pub kind: RouteKind,
+    /// Largest number of targets that may run the request.
+    pub max_attempts: u32,
+    /// Latency target of the route, in milliseconds; it sets when the request is hedged.
+    pub latency_target_ms: u64,
+    /// Deadline for the answer.
+    pub limit: ClockTime,
+    /// Shortest interval between two requests from this instance to the same cold target, in
+    /// milliseconds; `None` excludes cold targets.
+    pub cold_pause_ms: Option<u64>,
+    /// Number of slots of each target that the request leaves free, or `None` if the target's own
+    /// queue limits the requests.
+    pub reserved_slots: Option<u32>,
+}
+
+/// Complete answer of a target.
+#[derive(Debug)]
+pub struct PlainAnswer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Stamp of the target, if there is one.
+    pub stamp: Option<String>,
+    /// Headers as the target sent them.
+    pub headers: HeaderMap,
+    /// Answer body.
+    pub body: Bytes,
+}
+
+/// Outcome of forwarding a request.
+#[derive(Debug)]
+pub enum PlainOutcome {
+    /// A target answered.
+    Answered(PlainAnswer),
+    /// The request did not run and never will.
+    NotRun,
+    /// The targets failed; the request may have run.
+    Failed,
+    /// The deadline passed; the request may have run.
+    Late,
+}
+
+/// What became of a forwarded request.
+#[derive(Debug)]
+pub struct ForwardReport {
+    /// Outcome of the request.
+    pub outcome: PlainOutcome,
+    /// Number of targets that answered with an internal server error.
+    pub server_errors: u32,
+}
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -14,8 +14,8 @@
 use bergamotlane_service::choice::ChoiceQuery;
 use bergamotlane_service::choice::TargetChooser;
 use bergamotlane_service::forward::Forwarder;
-use bergamotlane_service::forward::PlainOutcome;
-use bergamotlane_service::forward::PlainRequest;
+use bergamotlane_service::plain::PlainOutcome;
+use bergamotlane_service::plain::PlainRequest;
 use bergamotlane_service::plan::RouteKind;
 use bergamotlane_storage::clock::now;
 
