--- a/scripts/mutate.py
+++ b/scripts/mutate.py
@@ -83,7 +83,7 @@
     ("late-announcement", "service/src/registry.rs",
      "&& age <= (old.announcement.born, old.announcement.sequence)", "&& age.0 < old.announcement.born",
      "bergamotlane-service", "announcements_are_ordered_by_start_time_and_sequence_number"),
-    ("least-version", "service/src/schedule.rs",
+    ("least-version", "service/src/placement.rs",
      "version.is_none_or(|it| *it < constraints.min_version)", "version.is_none()",
      "bergamotlane-service", "an_engine_below_the_minimum_version_gets_no_runs"),
     ("echoed-id", "service/src/forward.rs",
