Keep the limit on requests that a target names

Cause: no code read the limit. The class: a signal of overload that is not acted on, and a budget that is global while those who spend it are many.

Change: the leader holds a token bucket for each target that names a limit, and entries ask it for a permit before they send; items start as the buckets allow. Limits travel with the view of a target, so that the next leader and all entries know them; without a leader an entry spends its share. Targets without a limit come first, hedges spare limited ones, callers come before reward calls, and a request that gets no permit is refused at once with the time to return. An answer without the limit ends it, unless its request is older than the last naming.

The last two are the price: those targets name less than the callers want.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`targets`]: target registry, target selection, weight updates and target counts.
 //! - [`route`]: the routing table of an entry: keys, customers and services.
 //! - [`fair`]: the fair request queue of an entry.
+//! - [`rate`]: limits that targets name for the rate of their requests.
 //! - [`retry`]: retry budget and backoff.
 //! - [`meter`]: usage counted at an entry and sent in numbered increments.
 //! - [`arrival`]: arrival rates.
@@ -21,6 +22,7 @@
 pub mod finding;
 pub mod meter;
 pub mod plan;
+pub mod rate;
 pub mod retry;
 pub mod route;
 pub mod targets;
--- a/crates/service/src/choice.rs
+++ b/crates/service/src/choice.rs
@@ -13,6 +13,7 @@
 use crate::registry::TargetStage;
 use crate::registry::TargetView;
 use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_policy::rate::RequestRate;
 
 /// Duration of a target's first ejection, in milliseconds; each further failure doubles it.
 const FIRST_EJECTION_MS: u64 = 500;
@@ -39,6 +40,9 @@
 /// Half-life of an observed latency's deviation from [`DEFAULT_LATENCY_MS`], in milliseconds.
 const LATENCY_HALF_LIFE_MS: f64 = 4_000.0;
 
+/// Cost factor for a target that names a limit, so that others take its requests first.
+const LIMITED_FACTOR: f64 = 4.0;
+
 /// Cost factor for a target that is silent or cold; an ejected target gets its square.
 const PENALTY_FACTOR: f64 = 50.0;
 
@@ -51,6 +55,8 @@
     ejected_until: ClockTime,
     cold_sent_at: ClockTime,
     used_at: ClockTime,
+    /// Time until which no permit for the target can be had.
+    denied_until: ClockTime,
 }
 
 impl TargetLoad {
@@ -72,6 +78,7 @@
             ejected_until: ClockTime::default(),
             cold_sent_at: ClockTime::default(),
             used_at: ClockTime::default(),
+            denied_until: ClockTime::default(),
         }
     }
 }
@@ -89,6 +96,8 @@
     /// Number of slots of each target that this request leaves free, or `None` if the target's own
     /// queue limits the requests.
     pub reserved_slots: Option<u32>,
+    /// Whether targets that name a limit are eligible.
+    pub with_limited: bool,
 }
 
 /// Returns the number of slots of a target that requests may use which leave `reserved` free.
@@ -198,6 +207,10 @@
         if slots.is_some_and(|it| load.outstanding >= it) {
             return None;
         }
+        let is_limited = entry.rate_limit.is_some();
+        if is_limited && (!query.with_limited || now < load.denied_until) {
+            return None;
+        }
         let mut cost = load.expected_ms(now) * f64::from(load.outstanding + 1);
         if now.since(load.used_at) >= CONNECTION_IDLE_MS {
             cost *= UNCONNECTED_FACTOR;
@@ -205,6 +218,9 @@
         if entry.announcement.zone != self.zone {
             cost *= CROSS_ZONE_FACTOR;
         }
+        if is_limited {
+            cost *= LIMITED_FACTOR;
+        }
         if entry.stage == TargetStage::Silent {
             cost *= PENALTY_FACTOR;
         }
@@ -241,6 +257,40 @@
         }
     }
 
+    /// Records the limit that a target names, or that it names none, in its answer to a request that
+    /// was sent at `sent_at`. Returns whether that is news.
+    pub fn name_limit(
+        &mut self,
+        now: ClockTime,
+        id: &str,
+        rate: Option<RequestRate>,
+        sent_at: ClockTime,
+    ) -> bool {
+        self.registry.name_limit(now, id, rate, sent_at)
+    }
+
+    /// Returns the shortest time until a permit for one of a service's targets can be had, in
+    /// milliseconds, or `None` if no target waits for permits.
+    pub fn denied_ms(&self, now: ClockTime, service: &str) -> Option<u64> {
+        let limited = self
+            .candidates(service)
+            .filter(|it| it.rate_limit.is_some());
+        let waits = limited.filter_map(|it| {
+            let load = self.loads.get(&it.announcement.id)?;
+            (now < load.denied_until).then(|| load.denied_until.since(now))
+        });
+        waits.min()
+    }
+
+    /// Records that a chosen request got no permit for its target, and that none can be had before
+    /// `until`.
+    pub fn deny_request(&mut self, id: &str, until: ClockTime) {
+        self.release_request(id);
+        if let Some(load) = self.loads.get_mut(id) {
+            load.denied_until = until;
+        }
+    }
+
     /// Records the end of a request whose outcome says nothing about the target's health, such as
     /// a cancelled one.
     pub fn release_request(&mut self, id: &str) {
--- a/crates/service/src/dialect.rs
+++ b/crates/service/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use crate::state::UsageCounts;
 use crate::weights::OrderReport;
+use bergamotlane_policy::rate::RequestRate;
 
 /// Metadata that the service adds to a request to a target, usually as headers.
 #[derive(Debug, Clone, Copy, Default)]
@@ -34,6 +35,8 @@
     pub not_run: bool,
     /// Weight version at the start of the answer.
     pub version: Option<u64>,
+    /// Rate of requests that the target takes from all processes together, if it names one.
+    pub rate_limit: Option<RequestRate>,
 }
 
 /// Leader that issues an order, with its fencing token.
--- a/crates/service/src/engine_load.rs
+++ b/crates/service/src/engine_load.rs
@@ -34,6 +34,8 @@
     failures: u32,
     /// Start times of recent runs, oldest first.
     pub(crate) starts: VecDeque<ClockTime>,
+    /// Number of runs started since the permits of the engines were last counted.
+    pub(crate) used_permits: u32,
 }
 
 impl EngineLoad {
@@ -43,6 +45,9 @@
         if self.running >= engine.capacity || now < self.held_until {
             return false;
         }
+        if engine.permits.is_some_and(|it| self.used_permits >= it) {
+            return false;
+        }
         while self
             .starts
             .front()
--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -33,6 +33,7 @@
 use crate::link::LinkHub;
 use crate::link::LinkId;
 use crate::metrics::METRICS;
+use crate::permits::PermitClient;
 use crate::plan::RouteIndex;
 use crate::usage::UsageSums;
 use bergamotlane_storage::clock::now;
@@ -109,13 +110,17 @@
         now().0.saturating_sub(self.view_at.load(Ordering::Relaxed))
     }
 
+    /// Returns the number of processes that share what a target takes, at least 1.
+    pub fn sharers(&self) -> u32 {
+        self.entry_count.load(Ordering::Relaxed).max(1)
+    }
+
     /// Returns the shortest interval between two requests from this entry to the same cold target,
     /// in milliseconds, or `None` if cold targets must get no requests.
     ///
     /// `cold_per_s` is the rate that a cold target can handle; the live entries share it equally.
     pub fn cold_pause_ms(&self, cold_per_s: f64) -> Option<u64> {
-        let entries = self.entry_count.load(Ordering::Relaxed).max(1);
-        (cold_per_s > 0.0).then(|| (f64::from(entries) * 1_000.0 / cold_per_s) as u64)
+        (cold_per_s > 0.0).then(|| (f64::from(self.sharers()) * 1_000.0 / cold_per_s) as u64)
     }
 }
 
@@ -161,13 +166,14 @@
         keepers: BTreeSet::new(),
     };
     let shared = Arc::new(EntryShared {
-        leader,
         forwarder: Forwarder::new(
             dialect,
+            PermitClient::new(leader.clone()),
             &settings.name,
             &settings.zone,
             settings.usage_window_ms,
         ),
+        leader,
         index: Mutex::new(None),
         has_routes: watch::Sender::new(false),
         entry_count: AtomicU32::new(1),
--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -25,6 +25,9 @@
 use crate::dialect::RequestMetadata;
 use crate::dialect::TargetDialect;
 use crate::metrics::METRICS;
+use crate::permits::PermitClient;
+use crate::permits::PermitQuery;
+use crate::permits::return_ms;
 use crate::plain::ForwardReport;
 use crate::plain::PlainAnswer;
 use crate::plain::PlainOutcome;
@@ -35,6 +38,9 @@
 use crate::registry::TargetEntry;
 use crate::usage::UsageSums;
 use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_policy::rate::PermitClaim;
+use bergamotlane_policy::rate::PermitReply;
+use bergamotlane_policy::rate::RequestRate;
 use bergamotlane_storage::clock::now;
 use bergamotlane_storage::clock::unix_ms;
 
@@ -51,6 +57,9 @@
 /// ones do.
 const MAX_REJECTIONS: usize = 6;
 
+/// Divisor of the latency target that yields the longest wait for a permit.
+const PERMIT_WAIT_DIVISOR: u64 = 2;
+
 /// Largest body of an answer, in bytes; the complete body is buffered.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
@@ -80,10 +89,19 @@
     Failed,
 }
 
+/// Target for the next try of a request.
+enum NextTarget {
+    Chosen(Box<TargetEntry>),
+    /// All targets that could take the request are at their limits for this time, in milliseconds.
+    Limited(u64),
+    None,
+}
+
 /// Forwards an instance's requests and counts usage by customer.
 pub struct Forwarder<D> {
     dialect: D,
     pool: Arc<TargetPool>,
+    permits: PermitClient,
     chooser: Mutex<TargetChooser>,
     usage: Mutex<UsageSums>,
     window_ms: u64,
@@ -122,10 +140,17 @@
 impl<D: TargetDialect> Forwarder<D> {
     /// Returns a forwarder for the named instance in `zone`; usage windows last `window_ms`
     /// milliseconds.
-    pub fn new(dialect: D, instance: &str, zone: &str, window_ms: u64) -> Self {
+    pub fn new(
+        dialect: D,
+        permits: PermitClient,
+        instance: &str,
+        zone: &str,
+        window_ms: u64,
+    ) -> Self {
         Self {
             dialect,
             pool: TargetPool::new(),
+            permits,
             chooser: Mutex::new(TargetChooser::new(instance, zone)),
             usage: Mutex::default(),
             window_ms,
@@ -172,16 +197,24 @@
         let mut attempts = 0;
         // Set once a try failed after the request may have run, with the error answer if any.
         let mut failed: Option<Option<PlainAnswer>> = None;
+        let mut free_in_ms = None;
         let mut running = FuturesUnordered::new();
         loop {
             let left_ms = request.limit.since(now());
             let may_try = attempts < request.max_attempts
                 && (idempotent || attempts == 0)
                 && left_ms >= MIN_TRY_MS;
-            if may_try && let Some(target) = self.choose(request, &tried) {
-                tried.push(target.announcement.id.clone());
-                attempts += 1;
-                running.push(self.try_target(request, target, left_ms));
+            if may_try {
+                match self.next_target(request, &tried, running.is_empty()).await {
+                    NextTarget::Chosen(target) => {
+                        tried.push(target.announcement.id.clone());
+                        attempts += 1;
+                        let left_ms = request.limit.since(now());
+                        running.push(self.try_target(request, *target, left_ms));
+                    }
+                    NextTarget::Limited(wait_ms) => free_in_ms = Some(wait_ms),
+                    NextTarget::None => {}
+                }
             }
             if running.is_empty() {
                 tally.may_have_run |= failed.is_some();
@@ -189,7 +222,10 @@
                     Some(Some(answer)) => PlainOutcome::Answered(answer),
                     Some(None) if left_ms < MIN_TRY_MS => PlainOutcome::Late,
                     Some(None) => PlainOutcome::Failed,
-                    None => PlainOutcome::NotRun,
+                    None => match free_in_ms {
+                        Some(wait_ms) => PlainOutcome::Limited(return_ms(wait_ms)),
+                        None => PlainOutcome::NotRun,
+                    },
                 };
             }
             let can_hedge = idempotent && attempts < request.max_attempts && running.len() == 1;
@@ -228,14 +264,64 @@
         }
     }
 
-    fn choose(&self, request: &PlainRequest, tried: &[String]) -> Option<TargetEntry> {
-        let query = ChoiceQuery {
-            service: &request.service,
-            tried,
-            cold_pause_ms: request.cold_pause_ms,
-            reserved_slots: request.reserved_slots,
-        };
-        self.chooser().choose(now(), query)
+    /// Chooses the next target of a request. `with_limited` allows targets that name a limit, for
+    /// which the request must have a permit.
+    async fn next_target(
+        &self,
+        request: &PlainRequest,
+        tried: &[String],
+        with_limited: bool,
+    ) -> NextTarget {
+        let claim = permit_claim(request);
+        let mut free_in_ms: Option<u64> = None;
+        loop {
+            let query = ChoiceQuery {
+                service: &request.service,
+                tried,
+                cold_pause_ms: request.cold_pause_ms,
+                reserved_slots: request.reserved_slots,
+                with_limited,
+            };
+            let chosen = self.chooser().choose(now(), query);
+            let Some(target) = chosen else {
+                let denied_ms = || self.chooser().denied_ms(now(), &request.service);
+                return match free_in_ms.or_else(denied_ms) {
+                    Some(wait_ms) => NextTarget::Limited(wait_ms),
+                    None => NextTarget::None,
+                };
+            };
+            let Some(rate) = target.rate_limit else {
+                return NextTarget::Chosen(Box::new(target));
+            };
+            let id = target.announcement.id.as_str();
+            let permit = self.permits.acquire(PermitQuery {
+                target: id,
+                rate,
+                claim,
+                sharers: request.sharers,
+            });
+            match permit.await {
+                PermitReply::Granted(wait_ms) => {
+                    sleep(Duration::from_millis(wait_ms)).await;
+                    return NextTarget::Chosen(Box::new(target));
+                }
+                PermitReply::Denied(wait_ms) => {
+                    spdlog::info!("request: no permit", kv: {
+                        request = request.id.as_str(),
+                        target = id,
+                        limit_per_s = rate.per_s(),
+                        free_in_ms = wait_ms,
+                    });
+                    let earlier_ms = match claim {
+                        PermitClaim::Caller(max_wait_ms) => max_wait_ms,
+                        PermitClaim::Background => 0,
+                    };
+                    let until = now() + wait_ms.saturating_sub(earlier_ms);
+                    self.chooser().deny_request(id, until);
+                    free_in_ms = Some(free_in_ms.map_or(wait_ms, |it| it.min(wait_ms)));
+                }
+            }
+        }
     }
 
     async fn try_target(
@@ -294,6 +380,7 @@
         };
         *message.headers_mut() = headers;
         let idempotent = request.kind == RouteKind::Safe;
+        let sent_at = now();
         let sent = self
             .pool
             .send(target.announcement.address, message, idempotent);
@@ -311,6 +398,7 @@
         {
             return TryOutcome::Failed;
         }
+        self.record_limit(&target.announcement.id, metadata.rate_limit, sent_at);
         let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
         let Ok(body) = limited.collect().await else {
             return TryOutcome::Failed;
@@ -329,6 +417,21 @@
             body: body.to_bytes(),
         })
     }
+
+    /// Records the limit that a target names in its answer, and tells the leader if that is news.
+    fn record_limit(&self, target: &str, rate: Option<RequestRate>, sent_at: ClockTime) {
+        if self.chooser().name_limit(now(), target, rate, sent_at) {
+            self.permits.report(target, rate, sent_at);
+        }
+    }
+}
+
+/// Returns a request's claim on a permit. One that leaves slots to callers leaves permits as well.
+fn permit_claim(request: &PlainRequest) -> PermitClaim {
+    match request.reserved_slots {
+        Some(_) => PermitClaim::Background,
+        None => PermitClaim::Caller(request.latency_target_ms / PERMIT_WAIT_DIVISOR),
+    }
 }
 
 /// Returns the outcome's metric label.
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -113,6 +113,25 @@
     Retire(String),
     /// Return whether the instance of this name is drained.
     RetireState(String),
+    /// Give a permit for a request to a target that names a limit.
+    Permit {
+        /// ID of the target.
+        target: String,
+        /// Limit as the caller knows it, in thousandths of a request per second.
+        rate: u64,
+        /// Longest time that the request may wait for its permit, in milliseconds, or `None` if no
+        /// caller waits for it.
+        max_wait_ms: Option<u64>,
+    },
+    /// Record the limit that a target names in its answers.
+    NameLimit {
+        /// ID of the target.
+        target: String,
+        /// Limit, in thousandths of a request per second, or `None` if the target names none.
+        rate: Option<u64>,
+        /// Time since the request was sent whose answer says so, in milliseconds.
+        age_ms: u64,
+    },
 }
 
 /// Result of an item as callers read it.
@@ -160,6 +179,10 @@
     Body(Bytes),
     /// Whether the instance is drained.
     Retired(bool),
+    /// The request may be sent to its target after this delay, in milliseconds.
+    Permit(u64),
+    /// The request must not be sent; a permit is free after this time, in milliseconds.
+    NoPermit(u64),
 }
 
 /// Message on a link between two processes.
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -13,6 +13,8 @@
 use crate::registry::AnnouncementEffect;
 use crate::registry::TargetAnnouncement;
 use crate::state::StateCommand;
+use bergamotlane_policy::rate::PermitClaim;
+use bergamotlane_policy::rate::RequestRate;
 use bergamotlane_storage::clock::now;
 
 /// Limit for the text bytes of one reply; a single larger result is still returned.
@@ -60,6 +62,25 @@
                 let reply = self.read_item(&job, customer.as_deref(), &item);
                 self.reply(origin, reply);
             }
+            LeaderCall::Permit {
+                target,
+                rate,
+                max_wait_ms,
+            } => {
+                let claim = match max_wait_ms {
+                    Some(max_wait_ms) => PermitClaim::Caller(max_wait_ms),
+                    None => PermitClaim::Background,
+                };
+                self.give_permit(&target, RequestRate(rate), claim, origin);
+            }
+            LeaderCall::NameLimit {
+                target,
+                rate,
+                age_ms,
+            } => {
+                self.name_limit(&target, rate.map(RequestRate), now() - age_ms);
+                self.reply(origin, LeaderReply::Done);
+            }
             LeaderCall::Retire(instance) => self.retire(instance, origin),
             LeaderCall::RetireState(instance) => {
                 let reply = match self.is_known_keeper(&instance) {
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -28,6 +28,7 @@
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::link::LinkId;
+use crate::permits::PermitClient;
 use crate::plan::RouteIndex;
 use crate::pool::TargetPool;
 use crate::registry::TargetView;
@@ -188,13 +189,14 @@
 }
 
 impl<D: TargetDialect> KeeperCore<D> {
+    /// Must be called within the runtime that the keeper's tasks run on.
     pub(super) fn new(
         settings: KeeperSettings,
         dialect: D,
+        permits: PermitClient,
         hello: HelloFrame,
         folder: (DataFolder, FolderContent),
         hub: Arc<LinkHub>,
-        runtime: Handle,
         events: mpsc::UnboundedSender<KeeperEvent>,
     ) -> Self {
         let time = now();
@@ -207,6 +209,7 @@
             voter: Some(open_voter(folder.0, folder.1, time)),
             forwarder: Arc::new(Forwarder::new(
                 dialect.clone(),
+                permits,
                 &settings.name,
                 &settings.zone,
                 settings.usage_window_ms,
@@ -215,7 +218,7 @@
             dialect,
             hello,
             hub,
-            runtime,
+            runtime: Handle::current(),
             events,
             pool: TargetPool::resetting(),
             lease: LeaseWatch::default(),
--- a/crates/service/src/keeper/dispatch.rs
+++ b/crates/service/src/keeper/dispatch.rs
@@ -96,6 +96,11 @@
     pub(super) fn on_event(&mut self, event: KeeperEvent) {
         match event {
             KeeperEvent::RunEnded(run, end) => self.on_run_ended(run, end),
+            KeeperEvent::LimitNamed {
+                target,
+                rate,
+                sent_at,
+            } => self.name_limit(&target, rate, sent_at),
             KeeperEvent::RewardEnded(key, end) => self.on_reward_ended(key, end),
             KeeperEvent::WeightsOrdered {
                 id,
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -30,6 +30,7 @@
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::repair::RepairConfig;
 use bergamotlane_coordination::repair::RepairPlanner;
+use bergamotlane_policy::rate::RateLedger;
 use bergamotlane_storage::clock::now;
 use bergamotlane_storage::clock::unix_ms;
 
@@ -91,6 +92,8 @@
     /// Items whose complete texts are scored before they are listed.
     pub(super) scores: ScoreQueue,
     pub(super) reward_calls: HashMap<ScoreKey, RewardHandle>,
+    /// Permits for requests to targets that name a limit.
+    pub(super) rates: RateLedger,
     /// Results to propose, each with its job.
     pub(super) results: Vec<(String, ItemResult)>,
     pub(super) waiters: Vec<ResultWaiter>,
@@ -137,6 +140,7 @@
             runs: HashMap::new(),
             scores: ScoreQueue::default(),
             reward_calls: HashMap::new(),
+            rates: RateLedger::default(),
             results: Vec::new(),
             waiters: Vec::new(),
             changes: ViewChanges::default(),
@@ -244,6 +248,7 @@
             lead.duties_due = time + DUTY_INTERVAL_MS;
             self.repair_group(time);
             self.run_duties(time);
+            self.update_rates(time);
         }
         self.expire_items(time);
         self.assign_items(time);
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -11,6 +11,7 @@
 mod duties;
 mod effects;
 mod lead;
+mod limits;
 mod orders;
 mod outputs;
 mod peers;
@@ -29,7 +30,6 @@
 use std::thread;
 
 use tokio::runtime::Builder;
-use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
@@ -39,13 +39,16 @@
 use crate::leader_client::LeaderClient;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
+use crate::permits::PermitClient;
 use crate::scoring::ScoreEnd;
 use crate::scoring::ScoreKey;
 use crate::weights::OrderAnswer;
 use crate::weights::OrderReport;
 use crate::work::RunEnd;
 use crate::work::RunKey;
+use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::ident::NodeId;
+use bergamotlane_policy::rate::RequestRate;
 use bergamotlane_storage::DataFolder;
 use bergamotlane_storage::StorageError;
 
@@ -86,6 +89,15 @@
 pub(crate) enum KeeperEvent {
     /// A run of an item ended.
     RunEnded(RunKey, RunEnd),
+    /// An engine named another limit in its answer to a run than was known when the run started.
+    LimitNamed {
+        /// ID of the engine.
+        target: String,
+        /// Limit, or `None` if the engine names none.
+        rate: Option<RequestRate>,
+        /// Time at which the run started.
+        sent_at: ClockTime,
+    },
     /// A reward call of an item was answered or failed.
     RewardEnded(ScoreKey, ScoreEnd),
     /// A weight order to an engine was answered or failed.
@@ -181,14 +193,13 @@
         keepers: settings.seeds.clone(),
     };
     let hub = LinkHub::new(hello.clone(), link_sender);
-    let runtime = Handle::current();
     let core = KeeperCore::new(
         settings,
         dialect,
+        PermitClient::new(leader.clone()),
         hello,
         (folder, content),
         Arc::clone(&hub),
-        runtime,
         events.clone(),
     );
     let control = Builder::new_current_thread().enable_time().build()?;
--- a/crates/service/src/keeper/orders.rs
+++ b/crates/service/src/keeper/orders.rs
@@ -136,7 +136,7 @@
 
     /// Sends an order or a query to an engine; the outcome arrives as a [`KeeperEvent`].
     fn execute_weight_step(&mut self, step: WeightStep) {
-        let (Some(holder), Some(lead)) = (self.holder(), &self.lead) else {
+        let (Some(holder), Some(lead)) = (self.holder(), &mut self.lead) else {
             return;
         };
         let (WeightStep::Order { id, born, .. } | WeightStep::Inspect { id, born }) = &step;
@@ -144,6 +144,7 @@
         let Some(entry) = lead.registry.get(&id) else {
             return;
         };
+        lead.rates.charge(now(), &id);
         let address = entry.announcement.address;
         let service = entry.announcement.service.clone();
         let (pool, lease) = (Arc::clone(&self.pool), self.lease.clone());
--- a/crates/service/src/keeper/scoring.rs
+++ b/crates/service/src/keeper/scoring.rs
@@ -196,6 +196,7 @@
             limit: limit.min(task.expires),
             cold_pause_ms: self.cold_pause_ms(cold_per_s),
             reserved_slots: Some(NON_ROLLOUT_SLOTS),
+            sharers: self.entry_count() + 1,
         })
     }
 
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -113,6 +113,9 @@
                     models: usable_models(lead, time, id, announcement),
                     starts_per_s: (entry.is_cold(time) || entry.is_unconfirmed)
                         .then_some(cold_per_s.max(1)),
+                    permits: entry
+                        .rate_limit
+                        .map(|_| lead.rates.free(time, id, reserved > 0)),
                 }
             })
             .collect()
@@ -129,6 +132,9 @@
             return;
         };
         let starts = lead.scheduler.assign(time, &engines);
+        for start in &starts {
+            lead.rates.charge(time, &start.engine);
+        }
         let jobs: BTreeSet<String> = starts.iter().map(|it| it.job.clone()).collect();
         for start in starts {
             self.start_run(time, start);
@@ -173,6 +179,7 @@
         let Some(entry) = lead.registry.get(&start.engine) else {
             return;
         };
+        let known_limit = entry.rate_limit;
         let submission = &record.submission;
         let item = &submission.items[start.item as usize];
         let request = RunRequest {
@@ -209,7 +216,19 @@
         let (pool, dialect) = (Arc::clone(&self.pool), self.dialect.clone());
         let events = self.events.clone();
         self.runtime.spawn(async move {
-            let end = run_item(pool, dialect, request, progress, stopped).await;
+            let target = request.target.clone();
+            let on_limit = |rate| {
+                if rate != known_limit {
+                    let target = target.clone();
+                    let event = KeeperEvent::LimitNamed {
+                        target,
+                        rate,
+                        sent_at: time,
+                    };
+                    events.send(event).ok();
+                }
+            };
+            let end = run_item(pool, dialect, request, progress, stopped, on_limit).await;
             // The control thread runs until the process exits.
             events.send(KeeperEvent::RunEnded(run, end)).ok();
         });
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod order;
 mod parts;
 pub mod payload;
+pub mod permits;
 mod placement;
 pub mod plain;
 pub mod plan;
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -31,6 +31,11 @@
     pub answer_seconds: Histogram,
     /// Number of tries to forward a request to a target, by outcome.
     pub tries: IntCounterVec,
+    /// Number of requests for permits to send to targets that name a limit, by outcome and by who
+    /// decided.
+    pub permits: IntCounterVec,
+    /// Number of targets that name a limit, as the leader knows them.
+    pub targets_limited: IntGauge,
     /// Number of runs of items, by outcome.
     pub runs: IntCounterVec,
     /// Number of reward calls, by outcome.
@@ -86,6 +91,9 @@
             let counters = IntCounterVec::new(Opts::new(name, help), &[label]);
             register(&registry, counters.expect("metric names are valid"))
         };
+        let permits = Opts::new("permits_total", "Requests for permits.");
+        let permits = IntCounterVec::new(permits, &["outcome", "source"]);
+        let permits = permits.expect("metric names are valid");
         let latency = HistogramOpts::new("answer_seconds", "Time to answer callers.")
             .buckets(LATENCY_BUCKETS_S.to_vec());
         let latency = Histogram::with_opts(latency).expect("metric names are valid");
@@ -96,6 +104,8 @@
             answers: counters("answers_total", "Answers to callers.", "status"),
             answer_seconds: register(&registry, latency),
             tries: counters("target_tries_total", "Tries at targets.", "outcome"),
+            permits: register(&registry, permits),
+            targets_limited: gauge("targets_limited", "Targets that name a limit."),
             runs: counters("item_runs_total", "Runs of items.", "outcome"),
             reward_calls: counters("reward_calls_total", "Reward calls.", "outcome"),
             score_seconds: register(&registry, scoring),
--- a/crates/service/src/plain.rs
+++ b/crates/service/src/plain.rs
@@ -39,6 +39,8 @@
     /// Number of slots of each target that the request leaves free, or `None` if the target's own
     /// queue limits the requests.
     pub reserved_slots: Option<u32>,
+    /// Number of processes that share a target's limit while the leader can't be asked.
+    pub sharers: u32,
 }
 
 /// Complete answer of a target.
@@ -61,6 +63,9 @@
     Answered(PlainAnswer),
     /// The request did not run and never will.
     NotRun,
+    /// The targets that could take the request are at the limits that they name; it did not run and
+    /// never will. The caller should return after this time, in milliseconds.
+    Limited(u64),
     /// The targets failed; the request may have run.
     Failed,
     /// The deadline passed; the request may have run.
--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -8,6 +8,7 @@
 use serde::Serialize;
 
 use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_policy::rate::RequestRate;
 
 /// Time without an announcement after which a target is used only if no other is available, in
 /// milliseconds.
@@ -66,6 +67,9 @@
     pub announcement: TargetAnnouncement,
     /// Lifecycle stage when the view was made.
     pub stage: TargetStage,
+    /// Limit that the target names, in thousandths of a request per second.
+    #[serde(default)]
+    pub rate_limit: Option<u64>,
 }
 
 /// Target in the registry.
@@ -80,6 +84,10 @@
     /// Whether the target is known only from a view of an earlier leader, and has not announced
     /// itself since.
     pub is_unconfirmed: bool,
+    /// Rate of requests that the target takes from all processes together, if it names one.
+    pub rate_limit: Option<RequestRate>,
+    /// Time at which the target was last known to name a limit.
+    limit_named_at: ClockTime,
     announced_at: ClockTime,
 }
 
@@ -97,6 +105,7 @@
                 ..self.announcement.clone()
             },
             stage: self.stage,
+            rate_limit: self.rate_limit.map(|it| it.0),
         }
     }
 }
@@ -149,6 +158,8 @@
                 stage: view.stage,
                 cold_until: now + view.announcement.cold_left_ms,
                 is_unconfirmed: true,
+                rate_limit: view.rate_limit.map(RequestRate),
+                limit_named_at: now,
                 announced_at: now,
             };
             self.entries.insert(view.announcement.id.clone(), entry);
@@ -218,7 +229,11 @@
             false => TargetStage::Ready,
         };
         let cold_until = now + announcement.cold_left_ms;
-        let effect = match self.entries.get(&announcement.id) {
+        let old = self.entries.get(&announcement.id);
+        let same_start = old.filter(|it| it.announcement.born == announcement.born);
+        let rate_limit = same_start.and_then(|it| it.rate_limit);
+        let limit_named_at = old.map(|it| it.limit_named_at).unwrap_or_default();
+        let effect = match old {
             Some(old) => effect_of(old, &announcement, stage, now),
             None => AnnouncementEffect::Changed,
         };
@@ -235,6 +250,8 @@
             stage,
             cold_until,
             is_unconfirmed: false,
+            rate_limit,
+            limit_named_at,
             announced_at: now,
             announcement,
         };
@@ -285,6 +302,34 @@
         }
     }
 
+    /// Records the limit that a target names in its answer to a request that was sent at `sent_at`,
+    /// or that it names none. Returns whether that is news.
+    ///
+    /// An answer without a limit says nothing if its request was sent before the limit was last
+    /// named.
+    pub fn name_limit(
+        &mut self,
+        now: ClockTime,
+        id: &str,
+        rate: Option<RequestRate>,
+        sent_at: ClockTime,
+    ) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        match rate {
+            Some(_) => entry.limit_named_at = now,
+            None if sent_at < entry.limit_named_at => return false,
+            None => {}
+        }
+        let is_news = entry.rate_limit != rate;
+        entry.rate_limit = rate;
+        if is_news {
+            self.changes.routing.insert(id.to_owned());
+        }
+        is_news
+    }
+
     /// Marks targets without recent announcements as silent, and removes them later. Returns
     /// whether a target was removed or changed its stage.
     pub fn expire(&mut self, now: ClockTime) -> bool {
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -33,6 +33,7 @@
 use crate::work::PartialText;
 use crate::work::RunEnd;
 use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_policy::rate::RequestRate;
 use bergamotlane_storage::clock::now;
 
 /// Time without data from the engine after which a run is stopped, to be resumed elsewhere.
@@ -145,15 +146,18 @@
 }
 
 /// Runs an item until its stream ends or `stop` fires, which counts as a broken stream.
+///
+/// `on_limit` gets the limit that the engine names in its answer, or `None` if it names none.
 pub async fn run_item<D: TargetDialect>(
     pool: Arc<TargetPool>,
     dialect: D,
     request: RunRequest,
     progress: Arc<RunProgress>,
     stop: oneshot::Receiver<()>,
+    on_limit: impl Fn(Option<RequestRate>),
 ) -> RunEnd {
     let end = tokio::select! {
-        end = stream_item(&pool, &dialect, &request, &progress) => Some(end),
+        end = stream_item(&pool, &dialect, &request, &progress, on_limit) => Some(end),
         _ = stop => None,
     };
     match end {
@@ -179,6 +183,7 @@
     dialect: &D,
     request: &RunRequest,
     progress: &RunProgress,
+    on_limit: impl Fn(Option<RequestRate>),
 ) -> StreamEnd {
     let last_event = progress.text().last_id;
     let Some(message) = build_request(dialect, request, last_event) else {
@@ -199,6 +204,7 @@
     if is_foreign {
         return StreamEnd::Broken;
     }
+    on_limit(metadata.rate_limit);
     if !response.status().is_success() {
         let end = end_for_status(response.status(), metadata.not_run);
         let body = Limited::new(response.into_body(), MAX_ERROR_BYTES);
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -220,6 +220,9 @@
     /// Assigns waiting items to engines and returns the runs to start.
     pub fn assign(&mut self, now: ClockTime, engines: &[EngineSlot]) -> Vec<RunStart> {
         let mut starts = Vec::new();
+        for load in self.loads.values_mut() {
+            load.used_permits = 0;
+        }
         let typical_pace_ms = typical_pace_ms(&self.loads, engines);
         // Jobs by the latest start time of their next item.
         let mut next_starts: BTreeSet<(ClockTime, String)> = self
@@ -271,6 +274,7 @@
         let run = RunKey(self.next_run);
         let load = self.loads.entry(engine.id.clone()).or_default();
         load.running += 1;
+        load.used_permits += 1;
         load.starts.push_back(now);
         let active = ActiveRun {
             job: id.to_owned(),
--- a/crates/service/src/work.rs
+++ b/crates/service/src/work.rs
@@ -43,6 +43,8 @@
     pub models: BTreeMap<String, u64>,
     /// Number of runs that may start within one second, or `None` if the engine is warm.
     pub starts_per_s: Option<u32>,
+    /// Number of runs that may start now, or `None` if the engine names no limit.
+    pub permits: Option<u32>,
 }
 
 /// Text generated so far, from which another run can resume.
--- a/crates/service/tests/choice.rs
+++ b/crates/service/tests/choice.rs
@@ -33,6 +33,7 @@
             is_reclaimable: false,
         },
         stage: TargetStage::Ready,
+        rate_limit: None,
     }
 }
 
@@ -48,6 +49,7 @@
         tried,
         cold_pause_ms: Some(1_000),
         reserved_slots: None,
+        with_limited: true,
     };
     chooser
         .choose(now, query)
--- a/crates/service/tests/schedule/main.rs
+++ b/crates/service/tests/schedule/main.rs
@@ -27,6 +27,7 @@
         capacity,
         models: BTreeMap::from([("m".to_owned(), version)]),
         starts_per_s: None,
+        permits: None,
     }
 }
 
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -14,6 +14,8 @@
 use bergamotlane_service::choice::ChoiceQuery;
 use bergamotlane_service::choice::TargetChooser;
 use bergamotlane_service::forward::Forwarder;
+use bergamotlane_service::leader_client::LeaderClient;
+use bergamotlane_service::permits::PermitClient;
 use bergamotlane_service::plain::PlainOutcome;
 use bergamotlane_service::plain::PlainRequest;
 use bergamotlane_service::plan::RouteKind;
@@ -34,9 +36,22 @@
         limit: now() + limit_ms,
         cold_pause_ms: None,
         reserved_slots: None,
+        sharers: 1,
     }
 }
 
+/// Returns a forwarder without a leader.
+fn forwarder(window_ms: u64) -> Forwarder<TestDialect> {
+    let (leader, _) = LeaderClient::new();
+    Forwarder::new(
+        TestDialect,
+        PermitClient::new(leader),
+        "entry",
+        "a",
+        window_ms,
+    )
+}
+
 /// Returns the IDs of `count` equal targets in the order in which an instance tries them.
 fn tried_order(count: usize) -> Vec<String> {
     let mut chooser = TargetChooser::new("entry", "a");
@@ -52,6 +67,7 @@
             tried: &tried,
             cold_pause_ms: None,
             reserved_slots: None,
+            with_limited: true,
         };
         let target = chooser.choose(now(), query).unwrap();
         tried.push(target.announcement.id);
@@ -67,7 +83,7 @@
     behaviours: &[StubBehaviour],
     limit_ms: u64,
 ) -> (String, u32) {
-    let forwarder = Forwarder::new(TestDialect, "entry", "a", 5_000);
+    let forwarder = forwarder(5_000);
     let mut stubs = Vec::new();
     let mut views = Vec::new();
     let ids = tried_order(behaviours.len());
@@ -153,7 +169,7 @@
 
 #[tokio::test]
 async fn leftover_bytes_on_a_connection_never_answer_another_request() {
-    let forwarder = Forwarder::new(TestDialect, "entry", "a", 5_000);
+    let forwarder = forwarder(5_000);
     let stub = StubTarget::start(StubBehaviour::AnswersTwice).await;
     forwarder
         .chooser()
@@ -173,7 +189,7 @@
 
 #[tokio::test]
 async fn each_request_that_ran_is_counted_once_and_refused_ones_are_not() {
-    let forwarder = Forwarder::new(TestDialect, "entry", "a", u64::MAX);
+    let forwarder = forwarder(u64::MAX);
     let slow = StubTarget::start(StubBehaviour::Slow(400)).await;
     let refusing = StubTarget::start(StubBehaviour::Refuses).await;
     let views = [view("s", slow.address), view("w", refusing.address)];
--- a/crates/service/tests/targets/run.rs
+++ b/crates/service/tests/targets/run.rs
@@ -49,7 +49,15 @@
     };
     let (_stop_sender, stop) = oneshot::channel();
     let progress = Arc::new(RunProgress::new(partial));
-    run_item(TargetPool::new(), TestDialect, request, progress, stop).await
+    run_item(
+        TargetPool::new(),
+        TestDialect,
+        request,
+        progress,
+        stop,
+        |_| {},
+    )
+    .await
 }
 
 fn event_texts(partial: &PartialText) -> Vec<String> {
--- a/crates/service/tests/targets/support.rs
+++ b/crates/service/tests/targets/support.rs
@@ -15,6 +15,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use bergamotlane_policy::rate::RequestRate;
 use bergamotlane_service::dialect::AnswerMetadata;
 use bergamotlane_service::dialect::OrderHolder;
 use bergamotlane_service::dialect::OutboundCall;
@@ -55,6 +56,7 @@
             stamp: text("x-stamp"),
             not_run: headers.contains_key("x-not-run"),
             version: text("x-version").and_then(|version| version.parse().ok()),
+            rate_limit: text("x-limit").and_then(|limit| RequestRate::parse(&limit)),
         }
     }
 
@@ -367,5 +369,6 @@
             is_reclaimable: false,
         },
         stage: TargetStage::Ready,
+        rate_limit: None,
     }
 }
