--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -17,6 +17,7 @@
 use http::StatusCode;
 use http_body_util::BodyExt;
 use http_body_util::Full;
+use spdlog::Level;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
@@ -351,7 +352,11 @@
             .tries
             .with_label_values(&[outcome_label(&end)])
             .inc();
-        spdlog::debug!("request: target tried", kv: {
+        let level = match &end {
+            TryOutcome::Answered(answer) if answer.status.is_success() => Level::Debug,
+            _ => Level::Info,
+        };
+        spdlog::log!(level, "request: target tried", kv: {
             request = request.id.as_str(),
             target = target.announcement.id.as_str(),
             outcome = outcome_label(&end),
