Stop a request that crashes its targets after the second crash

Cause: an attempt hedged and retried a request whose targets ended, a crash on a kept connection counted as "not sent", and nothing about the request outlived its attempt: each entry took it as new. The class: retries without memory of what they did, a budget per attempt where the harm adds up over attempts and processes.

Change: a try whose connection breaks asks whether the target still listens; if not, it crashed. The request is then known by its content (caller, method, host, path, body), at the entry at once and at all others through the leader's view, also under the next leader. A suspect is neither hedged nor repeated on a connection that broke; after two crashes it is refused at once for 30 s, four times as long after each further one. The first answer clears a request that was merely running when its target crashed.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -12,6 +12,7 @@
 //! - [`fair`]: the fair request queue of an entry.
 //! - [`rate`]: limits that targets name for the rate of their requests.
 //! - [`retry`]: retry budget and backoff.
+//! - [`suspect`]: requests under which targets crashed.
 //! - [`meter`]: usage counted at an entry and sent in numbered increments.
 //! - [`arrival`]: arrival rates.
 //! - [`finding`]: validation errors with their position in the input.
@@ -25,4 +26,5 @@
 pub mod rate;
 pub mod retry;
 pub mod route;
+pub mod suspect;
 pub mod targets;
--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -33,7 +33,6 @@
 use crate::link::LinkHub;
 use crate::link::LinkId;
 use crate::metrics::METRICS;
-use crate::permits::PermitClient;
 use crate::plan::RouteIndex;
 use crate::usage::UsageSums;
 use bergamotlane_storage::clock::now;
@@ -168,7 +167,7 @@
     let shared = Arc::new(EntryShared {
         forwarder: Forwarder::new(
             dialect,
-            PermitClient::new(leader.clone()),
+            leader.clone(),
             &settings.name,
             &settings.zone,
             settings.usage_window_ms,
@@ -314,6 +313,9 @@
         if let Some(plan) = view.plan {
             self.install_plan(plan);
         }
+        if let Some(suspects) = view.suspects {
+            self.shared.forwarder.suspects().replace(time, &suspects);
+        }
         let mut chooser = self.shared.forwarder.chooser();
         if let Some(zones) = view.evacuated {
             spdlog::info!("view: zones out", kv: { zones = zones.join(","), term = view.term });
--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -25,6 +25,7 @@
 use crate::choice::TargetChooser;
 use crate::dialect::RequestMetadata;
 use crate::dialect::TargetDialect;
+use crate::leader_client::LeaderClient;
 use crate::metrics::METRICS;
 use crate::permits::PermitClient;
 use crate::permits::PermitQuery;
@@ -36,12 +37,15 @@
 use crate::plan::RouteKind;
 use crate::pool::SendError;
 use crate::pool::TargetPool;
+use crate::registry::TargetAnnouncement;
 use crate::registry::TargetEntry;
+use crate::suspects::SuspectWatch;
 use crate::usage::UsageSums;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_policy::rate::PermitClaim;
 use bergamotlane_policy::rate::PermitReply;
 use bergamotlane_policy::rate::RequestRate;
+use bergamotlane_policy::suspect::RequestDigest;
 use bergamotlane_storage::clock::now;
 use bergamotlane_storage::clock::unix_ms;
 
@@ -86,8 +90,12 @@
     NotRun,
     /// No connection could be made.
     Unsent,
+    /// The connection broke after the request may have run.
+    Broken,
     /// The try failed after the request may have run.
     Failed,
+    /// The target crashed while the request may have run.
+    Crashed,
 }
 
 /// Target for the next try of a request.
@@ -103,6 +111,7 @@
     dialect: D,
     pool: Arc<TargetPool>,
     permits: PermitClient,
+    suspects: SuspectWatch,
     chooser: Mutex<TargetChooser>,
     usage: Mutex<UsageSums>,
     window_ms: u64,
@@ -139,11 +148,11 @@
 }
 
 impl<D: TargetDialect> Forwarder<D> {
-    /// Returns a forwarder for the named instance in `zone`; usage windows last `window_ms`
-    /// milliseconds.
+    /// Returns a forwarder for the named instance in `zone`, which gets permits from the leader; usage
+    /// windows last `window_ms` milliseconds.
     pub fn new(
         dialect: D,
-        permits: PermitClient,
+        leader: LeaderClient,
         instance: &str,
         zone: &str,
         window_ms: u64,
@@ -151,7 +160,8 @@
         Self {
             dialect,
             pool: TargetPool::new(),
-            permits,
+            permits: PermitClient::new(leader.clone()),
+            suspects: SuspectWatch::new(leader),
             chooser: Mutex::new(TargetChooser::new(instance, zone)),
             usage: Mutex::default(),
             window_ms,
@@ -163,6 +173,11 @@
         lock(&self.chooser)
     }
 
+    /// Returns the requests under which targets crashed.
+    pub fn suspects(&self) -> &SuspectWatch {
+        &self.suspects
+    }
+
     /// Returns the usage sums counted so far.
     pub fn usage(&self) -> UsageSums {
         lock(&self.usage).clone()
@@ -177,6 +192,10 @@
     /// usage of its customer.
     pub async fn forward(&self, request: &PlainRequest) -> ForwardReport {
         let started_ms = unix_ms();
+        let suspect = self.suspects.find(request);
+        if let Some(left_ms) = suspect.and_then(|it| self.quarantine_left_ms(it)) {
+            return self.refuse_quarantined(request, left_ms);
+        }
         let mut tally = ForwardTally::default();
         let outcome = self.try_targets(request, &mut tally).await;
         if tally.may_have_run
@@ -190,8 +209,30 @@
         }
     }
 
+    /// Returns the time for which a request is not sent on because targets crashed under it, in
+    /// milliseconds.
+    fn quarantine_left_ms(&self, digest: RequestDigest) -> Option<u64> {
+        self.suspects.table().quarantine_left_ms(now(), digest)
+    }
+
+    fn refuse_quarantined(&self, request: &PlainRequest, left_ms: u64) -> ForwardReport {
+        METRICS.quarantined.inc();
+        spdlog::info!("request: in quarantine", kv: { request = request.id.as_str(), left_ms });
+        ForwardReport {
+            outcome: PlainOutcome::Quarantined(left_ms),
+            server_errors: 0,
+        }
+    }
+
     async fn try_targets(&self, request: &PlainRequest, tally: &mut ForwardTally) -> PlainOutcome {
         let idempotent = request.kind == RouteKind::Safe;
+        let mut suspect = self.suspects.find(request);
+        // A request that may crash its target gets one try at a time, and one alone if it has crashed
+        // one before.
+        let max_attempts = match suspect {
+            Some(_) => 1,
+            None => request.max_attempts,
+        };
         let hedge_ms = (request.latency_target_ms * HEDGE_TARGET_PERCENT / 100).max(MIN_HEDGE_MS);
         let mut tried: Vec<String> = Vec::new();
         let mut rejections = 0;
@@ -202,9 +243,11 @@
         let mut running = FuturesUnordered::new();
         loop {
             let left_ms = request.limit.since(now());
-            let may_try = attempts < request.max_attempts
+            let may_try = attempts < max_attempts
                 && (idempotent || attempts == 0)
-                && left_ms >= MIN_TRY_MS;
+                && left_ms >= MIN_TRY_MS
+                && (suspect.is_none() || running.is_empty())
+                && suspect.is_none_or(|it| self.quarantine_left_ms(it).is_none());
             if may_try {
                 match self.next_target(request, &tried, running.is_empty()).await {
                     NextTarget::Chosen(target) => {
@@ -229,7 +272,8 @@
                     },
                 };
             }
-            let can_hedge = idempotent && attempts < request.max_attempts && running.len() == 1;
+            let can_hedge =
+                idempotent && suspect.is_none() && attempts < max_attempts && running.len() == 1;
             let wait_ms = if can_hedge {
                 left_ms.min(hedge_ms)
             } else {
@@ -243,13 +287,20 @@
                 Some(TryOutcome::Answered(answer)) if is_final(&answer, idempotent) => {
                     tally.may_have_run = true;
                     tally.record_status(answer.status);
+                    if let Some(digest) = suspect {
+                        self.suspects.record_answer(digest);
+                    }
                     return PlainOutcome::Answered(answer);
                 }
                 Some(TryOutcome::Answered(answer)) => {
                     tally.record_status(answer.status);
                     failed = Some(Some(answer));
                 }
-                Some(TryOutcome::Failed) => failed = failed.or(Some(None)),
+                Some(TryOutcome::Broken | TryOutcome::Failed) => failed = failed.or(Some(None)),
+                Some(TryOutcome::Crashed) => {
+                    failed = failed.or(Some(None));
+                    suspect = self.suspects.find(request);
+                }
                 Some(TryOutcome::NotRun | TryOutcome::Unsent) => {
                     rejections += 1;
                     if rejections < MAX_REJECTIONS {
@@ -339,14 +390,19 @@
         };
         let sent = self.send(request, &target, left_ms);
         let limit = Duration::from_millis(left_ms);
-        let end = match timeout(limit, sent).boxed().await {
+        let mut end = match timeout(limit, sent).boxed().await {
             Ok(end) => end,
             Err(_) => TryOutcome::Failed,
         };
+        if matches!(end, TryOutcome::Broken) {
+            end = self.classify_break(request, &target.announcement).await;
+        }
         match &end {
             TryOutcome::Answered(answer) => guard.record(!answer.status.is_server_error()),
             TryOutcome::NotRun => {}
-            TryOutcome::Unsent | TryOutcome::Failed => guard.record(false),
+            TryOutcome::Unsent | TryOutcome::Broken | TryOutcome::Failed | TryOutcome::Crashed => {
+                guard.record(false)
+            }
         }
         METRICS
             .tries
@@ -386,13 +442,14 @@
         *message.headers_mut() = headers;
         let idempotent = request.kind == RouteKind::Safe;
         let sent_at = now();
+        let may_repeat = idempotent && self.suspects.find(request).is_none();
         let sent = self
             .pool
-            .send(target.announcement.address, message, idempotent);
+            .send(target.announcement.address, message, may_repeat);
         let (response, connection) = match sent.await {
             Ok(answer) => answer,
             Err(SendError::Connect) => return TryOutcome::Unsent,
-            Err(SendError::Broken(_)) => return TryOutcome::Failed,
+            Err(SendError::Gone | SendError::Broken(_)) => return TryOutcome::Broken,
         };
         let (head, body) = response.into_parts();
         let metadata = self.dialect.read_metadata(&head.headers);
@@ -406,7 +463,7 @@
         self.record_limit(&target.announcement.id, metadata.rate_limit, sent_at);
         let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
         let Ok(body) = limited.collect().await else {
-            return TryOutcome::Failed;
+            return TryOutcome::Broken;
         };
         connection.keep();
         if metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -423,6 +480,19 @@
         })
     }
 
+    /// Returns how a try ended whose connection broke, and records it if the target crashed.
+    async fn classify_break(
+        &self,
+        request: &PlainRequest,
+        target: &TargetAnnouncement,
+    ) -> TryOutcome {
+        if !self.pool.is_abandoned(target.address).await {
+            return TryOutcome::Failed;
+        }
+        self.suspects.record_crash(request, target);
+        TryOutcome::Crashed
+    }
+
     /// Records the limit that a target names in its answer, and tells the leader if that is news.
     fn record_limit(&self, target: &str, rate: Option<RequestRate>, sent_at: ClockTime) {
         if self.chooser().name_limit(now(), target, rate, sent_at) {
@@ -445,7 +515,8 @@
         TryOutcome::Answered(_) => "answered",
         TryOutcome::NotRun => "not run",
         TryOutcome::Unsent => "not sent",
-        TryOutcome::Failed => "failed",
+        TryOutcome::Broken | TryOutcome::Failed => "failed",
+        TryOutcome::Crashed => "crashed",
     }
 }
 
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -12,6 +12,7 @@
 use crate::registry::TargetAnnouncement;
 use crate::registry::TargetView;
 use crate::state::StateCommand;
+use crate::suspects::SuspectView;
 use crate::texts::TextDelta;
 use crate::usage::UsageSums;
 use bergamotlane_wire::ConsensusMessageWire;
@@ -67,6 +68,9 @@
     pub keepers: Option<BTreeSet<SocketAddr>>,
     /// Link addresses of the members of the consensus group, one of which leads.
     pub members: Option<BTreeSet<SocketAddr>>,
+    /// Requests under which targets crashed.
+    #[serde(default)]
+    pub suspects: Option<Vec<SuspectView>>,
     /// Number of live entries, which share the rate of requests to a cold target.
     pub entries: u32,
 }
@@ -123,6 +127,17 @@
         /// caller waits for it.
         max_wait_ms: Option<u64>,
     },
+    /// Record that a target crashed while it ran a request.
+    ReportCrash {
+        /// Digest of the request.
+        digest: [u8; 16],
+        /// ID of the target.
+        target: String,
+        /// Start time of the target, in milliseconds since 1970.
+        born: u64,
+    },
+    /// Record that the request with this digest was answered by a target.
+    ClearSuspect([u8; 16]),
     /// Record the limit that a target names in its answers.
     NameLimit {
         /// ID of the target.
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -15,6 +15,8 @@
 use crate::state::StateCommand;
 use bergamotlane_policy::rate::PermitClaim;
 use bergamotlane_policy::rate::RequestRate;
+use bergamotlane_policy::suspect::RequestDigest;
+use bergamotlane_policy::suspect::TargetStart;
 use bergamotlane_storage::clock::now;
 
 /// Limit for the text bytes of one reply; a single larger result is still returned.
@@ -73,6 +75,16 @@
                 };
                 self.give_permit(&target, RequestRate(rate), claim, origin);
             }
+            LeaderCall::ReportCrash {
+                digest,
+                target,
+                born,
+            } => self.record_crash(
+                RequestDigest(digest),
+                TargetStart { id: target, born },
+                origin,
+            ),
+            LeaderCall::ClearSuspect(digest) => self.clear_suspect(RequestDigest(digest), origin),
             LeaderCall::NameLimit {
                 target,
                 rate,
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -23,12 +23,12 @@
 use crate::frames::HelloFrame;
 use crate::leader_client::CallRequest;
 use crate::leader_client::CallResult;
+use crate::leader_client::LeaderClient;
 use crate::leader_client::PendingCalls;
 use crate::lease_watch::LeaseWatch;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::link::LinkId;
-use crate::permits::PermitClient;
 use crate::plan::RouteIndex;
 use crate::pool::TargetPool;
 use crate::registry::TargetView;
@@ -193,7 +193,7 @@
     pub(super) fn new(
         settings: KeeperSettings,
         dialect: D,
-        permits: PermitClient,
+        leader: LeaderClient,
         hello: HelloFrame,
         folder: (DataFolder, FolderContent),
         hub: Arc<LinkHub>,
@@ -209,7 +209,7 @@
             voter: Some(open_voter(folder.0, folder.1, time)),
             forwarder: Arc::new(Forwarder::new(
                 dialect.clone(),
-                permits,
+                leader,
                 &settings.name,
                 &settings.zone,
                 settings.usage_window_ms,
--- a/crates/service/src/keeper/dispatch.rs
+++ b/crates/service/src/keeper/dispatch.rs
@@ -39,6 +39,9 @@
                 if view.term >= self.view_term {
                     self.view_term = view.term;
                     self.receive_targets(&mut view);
+                    if let Some(suspects) = view.suspects.take() {
+                        self.forwarder.suspects().replace(now(), &suspects);
+                    }
                 }
                 self.on_hint(
                     link,
--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -98,7 +98,9 @@
     match timeout(DUTY_TIMEOUT, lease.guard(exchange)).await {
         Ok(Some(Ok(answer))) => Ok(answer),
         Ok(Some(Err(SendError::Connect))) => Err(DutyFailure::NotSent),
-        Ok(Some(Err(SendError::Broken(_))) | None) | Err(_) => Err(DutyFailure::Unclear),
+        Ok(Some(Err(SendError::Gone | SendError::Broken(_))) | None) | Err(_) => {
+            Err(DutyFailure::Unclear)
+        }
     }
 }
 
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -249,6 +249,7 @@
             self.repair_group(time);
             self.run_duties(time);
             self.update_rates(time);
+            self.expire_suspects(time);
         }
         self.expire_items(time);
         self.assign_items(time);
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -17,6 +17,7 @@
 mod peers;
 mod repair;
 mod scoring;
+mod suspects;
 mod targets;
 mod texts;
 mod view;
@@ -39,7 +40,6 @@
 use crate::leader_client::LeaderClient;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
-use crate::permits::PermitClient;
 use crate::scoring::ScoreEnd;
 use crate::scoring::ScoreKey;
 use crate::weights::OrderAnswer;
@@ -196,7 +196,7 @@
     let core = KeeperCore::new(
         settings,
         dialect,
-        PermitClient::new(leader.clone()),
+        leader.clone(),
         hello,
         (folder, content),
         Arc::clone(&hub),
--- a/crates/service/src/keeper/view.rs
+++ b/crates/service/src/keeper/view.rs
@@ -29,6 +29,7 @@
     pub(super) zones: bool,
     pub(super) all_targets: bool,
     pub(super) keepers: bool,
+    pub(super) suspects: bool,
 }
 
 impl ViewChanges {
@@ -39,6 +40,7 @@
             zones: true,
             all_targets: true,
             keepers: true,
+            suspects: true,
         }
     }
 
@@ -137,6 +139,7 @@
             removed,
             keepers: changes.keepers.then(|| self.keeper_addresses()),
             members: changes.keepers.then(|| self.member_addresses()),
+            suspects: changes.suspects.then(|| self.suspect_views(time)),
             entries: self.entry_count(),
         };
         let has_content = view.plan.is_some()
@@ -144,7 +147,8 @@
             || view.targets.is_some()
             || !view.changed.is_empty()
             || !view.removed.is_empty()
-            || view.keepers.is_some();
+            || view.keepers.is_some()
+            || view.suspects.is_some();
         has_content.then_some(view)
     }
 
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod schedule;
 pub mod scoring;
 pub mod state;
+pub mod suspects;
 pub mod text_journal;
 pub mod texts;
 pub mod turns;
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -36,6 +36,10 @@
     pub permits: IntCounterVec,
     /// Number of targets that name a limit, as the leader knows them.
     pub targets_limited: IntGauge,
+    /// Number of targets that crashed under callers' requests of this process.
+    pub target_crashes: IntCounter,
+    /// Number of requests refused because targets crashed under them.
+    pub quarantined: IntCounter,
     /// Number of runs of items, by outcome.
     pub runs: IntCounterVec,
     /// Number of reward calls, by outcome.
@@ -106,6 +110,8 @@
             tries: counters("target_tries_total", "Tries at targets.", "outcome"),
             permits: register(&registry, permits),
             targets_limited: gauge("targets_limited", "Targets that name a limit."),
+            target_crashes: counter("target_crashes_total", "Targets crashed under requests."),
+            quarantined: counter("quarantined_total", "Requests refused in quarantine."),
             runs: counters("item_runs_total", "Runs of items.", "outcome"),
             reward_calls: counters("reward_calls_total", "Reward calls.", "outcome"),
             score_seconds: register(&registry, scoring),
--- a/crates/service/src/plain.rs
+++ b/crates/service/src/plain.rs
@@ -66,6 +66,9 @@
     /// The targets that could take the request are at the limits that they name; it did not run and
     /// never will. The caller should return after this time, in milliseconds.
     Limited(u64),
+    /// Targets crashed under this request, so it is not sent on; it did not run and never will. The
+    /// caller should not return before this time, in milliseconds.
+    Quarantined(u64),
     /// The targets failed; the request may have run.
     Failed,
     /// The deadline passed; the request may have run.
--- a/crates/service/src/pool.rs
+++ b/crates/service/src/pool.rs
@@ -28,6 +28,9 @@
 /// Time limit for opening a connection.
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 
+/// Time limit for the check whether a target still listens.
+const PROBE_LIMIT: Duration = Duration::from_millis(150);
+
 /// Time for which sent data may stay unacknowledged before the connection fails.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -50,6 +53,10 @@
     /// No connection could be opened; nothing was sent.
     #[error("could not connect to the target")]
     Connect,
+    /// The request may have been sent on a connection that broke, and the target accepts no further
+    /// one.
+    #[error("the connection broke and the target accepts no other")]
+    Gone,
     /// The connection failed; the request may have been sent.
     #[error("connection failed: {0}")]
     Broken(#[from] hyper::Error),
@@ -173,13 +180,14 @@
     /// # Errors
     ///
     /// Returns [`SendError::Connect`] if the request certainly wasn't sent, and
-    /// [`SendError::Broken`] if it may have reached the target.
+    /// [`SendError::Gone`] or [`SendError::Broken`] if it may have reached the target.
     pub async fn send(
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
         may_repeat: bool,
     ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
+        let mut may_have_arrived = false;
         if let Some(mut sender) = self.reuse(address).await {
             let copy = request.clone();
             match sender.try_send_request(copy).await {
@@ -189,14 +197,27 @@
                     if !unsent && !may_repeat {
                         return Err(SendError::Broken(error.into_error()));
                     }
+                    may_have_arrived = !unsent;
                 }
             }
         }
-        let mut sender = self.connect(address).await?;
+        let mut sender = match self.connect(address).await {
+            Err(SendError::Connect) if may_have_arrived => return Err(SendError::Gone),
+            connected => connected?,
+        };
         let response = sender.send_request(request).await?;
         Ok(self.activate(address, sender, response))
     }
 
+    /// Returns whether no process listens at an address any more. An address that doesn't answer at
+    /// all counts as in use.
+    pub async fn is_abandoned(&self, address: SocketAddr) -> bool {
+        match timeout(PROBE_LIMIT, TcpStream::connect(address)).await {
+            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(Ok(_)) | Err(_) => false,
+        }
+    }
+
     /// Pairs an answer with its connection, which may return to the pool until its idle limit.
     fn activate(
         self: &Arc<Self>,
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -194,7 +194,7 @@
     let (response, connection) = match timeout(limits.silence, sent).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendError::Connect)) => return StreamEnd::Other(RunEnd::Unreachable),
-        Ok(Err(SendError::Broken(_))) | Err(_) => return StreamEnd::Broken,
+        Ok(Err(SendError::Gone | SendError::Broken(_))) | Err(_) => return StreamEnd::Broken,
     };
     let metadata = dialect.read_metadata(response.headers());
     let is_foreign = metadata
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -15,7 +15,6 @@
 use bergamotlane_service::choice::TargetChooser;
 use bergamotlane_service::forward::Forwarder;
 use bergamotlane_service::leader_client::LeaderClient;
-use bergamotlane_service::permits::PermitClient;
 use bergamotlane_service::plain::PlainOutcome;
 use bergamotlane_service::plain::PlainRequest;
 use bergamotlane_service::plan::RouteKind;
@@ -43,13 +42,7 @@
 /// Returns a forwarder without a leader.
 fn forwarder(window_ms: u64) -> Forwarder<TestDialect> {
     let (leader, _) = LeaderClient::new();
-    Forwarder::new(
-        TestDialect,
-        PermitClient::new(leader),
-        "entry",
-        "a",
-        window_ms,
-    )
+    Forwarder::new(TestDialect, leader, "entry", "a", window_ms)
 }
 
 /// Returns the IDs of `count` equal targets in the order in which an instance tries them.
@@ -126,6 +119,8 @@
 #[case::endless_body_then_healthy(&[StubBehaviour::EndlessBody(200), StubBehaviour::Healthy], "200 whole")]
 #[case::endless_head_then_healthy(&[StubBehaviour::EndlessHead, StubBehaviour::Healthy], "200 whole")]
 #[case::endless_interims_then_healthy(&[StubBehaviour::EndlessInterims, StubBehaviour::Healthy], "200 whole")]
+#[case::crashed_then_healthy(&[StubBehaviour::CrashesAfter(0), StubBehaviour::Healthy], "200 whole")]
+#[case::all_crash(&[StubBehaviour::CrashesAfter(0), StubBehaviour::CrashesAfter(0), StubBehaviour::Healthy], "Failed")]
 #[case::no_target(&[], "NotRun")]
 #[tokio::test]
 async fn a_repeatable_request_gets_a_complete_answer_or_an_accurate_failure(
@@ -187,6 +182,54 @@
     }
 }
 
+/// Guards against a request that goes on to further targets after it crashed some, under a new ID and
+/// at a new attempt, while others are still served.
+#[tokio::test]
+async fn a_request_under_which_targets_crashed_is_refused_at_once_and_others_are_not() {
+    let forwarder = forwarder(5_000);
+    let stubs = [
+        StubTarget::start(StubBehaviour::CrashesAfter(0)).await,
+        StubTarget::start(StubBehaviour::CrashesAfter(0)).await,
+    ];
+    let views = [view("t0", stubs[0].address), view("t1", stubs[1].address)];
+    forwarder.chooser().update(now(), &views);
+    let deadly = request(RouteKind::Safe, 3_000);
+    let first = forwarder.forward(&deadly).await.outcome;
+    assert!(matches!(first, PlainOutcome::Failed), "{first:?}");
+
+    let healthy = StubTarget::start(StubBehaviour::Healthy).await;
+    forwarder
+        .chooser()
+        .update(now(), &[view("t2", healthy.address)]);
+    let mut again = request(RouteKind::Safe, 3_000);
+    again.id = "r2".to_owned();
+    let second = forwarder.forward(&again).await.outcome;
+    assert!(matches!(second, PlainOutcome::Quarantined(_)), "{second:?}");
+    assert_eq!(healthy.count(), 0);
+    let mut other = request(RouteKind::Safe, 3_000);
+    other.body = Bytes::from_static(b"another question");
+    let third = forwarder.forward(&other).await.outcome;
+    assert!(matches!(third, PlainOutcome::Answered(_)), "{third:?}");
+    assert_eq!(stubs.iter().map(StubTarget::count).sum::<u32>(), 2);
+}
+
+/// Guards against a crash that is taken for a try which never arrived, since the request went out on
+/// a kept connection and the pool could not connect again.
+#[tokio::test]
+async fn a_crash_on_a_kept_connection_counts_as_one() {
+    let forwarder = forwarder(5_000);
+    let stub = StubTarget::start(StubBehaviour::CrashesAfter(1)).await;
+    forwarder
+        .chooser()
+        .update(now(), &[view("t", stub.address)]);
+    forwarder.forward(&request(RouteKind::Safe, 3_000)).await;
+    let mut deadly = request(RouteKind::Safe, 3_000);
+    deadly.body = Bytes::from_static(b"deadly question");
+    let outcome = forwarder.forward(&deadly).await.outcome;
+    assert!(matches!(outcome, PlainOutcome::Failed), "{outcome:?}");
+    assert!(forwarder.suspects().find(&deadly).is_some());
+}
+
 #[tokio::test]
 async fn each_request_that_ran_is_counted_once_and_refused_ones_are_not() {
     let forwarder = forwarder(u64::MAX);
--- a/crates/service/tests/targets/support.rs
+++ b/crates/service/tests/targets/support.rs
@@ -13,6 +13,7 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 use bergamotlane_policy::rate::RequestRate;
@@ -106,6 +107,9 @@
     Fails,
     /// Closes the connection without an answer.
     ClosesConnection,
+    /// Answers this number of requests; at the next one it stops listening and closes the connection
+    /// without an answer.
+    CrashesAfter(u32),
     /// Closes the connection before the last bytes of the answer.
     Truncates,
     /// Sends an answer with the ID of another request.
@@ -138,6 +142,9 @@
     ChangesVersion,
 }
 
+/// Time from the moment at which a crashing target stops listening until it closes its connections.
+const CRASH_TIME: Duration = Duration::from_millis(20);
+
 /// Number of events in a complete stream.
 pub const EVENT_COUNT: u64 = 4;
 
@@ -162,9 +169,14 @@
             return stub;
         }
         tokio::spawn(async move {
+            let crash = Arc::new(Notify::new());
             loop {
-                let (stream, _) = listener.accept().await.unwrap();
-                tokio::spawn(serve(stream, behaviour, Arc::clone(&requests)));
+                let stream = tokio::select! {
+                    accepted = listener.accept() => accepted.unwrap().0,
+                    () = crash.notified() => return,
+                };
+                let (requests, crash) = (Arc::clone(&requests), Arc::clone(&crash));
+                tokio::spawn(serve(stream, behaviour, requests, crash));
             }
         });
         stub
@@ -206,9 +218,19 @@
 }
 
 /// Answers the requests of one connection until either side closes it.
-async fn serve(mut stream: TcpStream, behaviour: StubBehaviour, requests: Arc<AtomicU32>) {
+async fn serve(
+    mut stream: TcpStream,
+    behaviour: StubBehaviour,
+    requests: Arc<AtomicU32>,
+    crash: Arc<Notify>,
+) {
     while let Some(head) = read_request(&mut stream).await {
-        requests.fetch_add(1, Ordering::Relaxed);
+        let earlier = requests.fetch_add(1, Ordering::Relaxed);
+        if matches!(behaviour, StubBehaviour::CrashesAfter(count) if earlier >= count) {
+            crash.notify_one();
+            sleep(CRASH_TIME).await;
+            return;
+        }
         let id = header_value(&head, "x-id").unwrap_or_default();
         if let Some((start, part, pause)) = endless_answer(behaviour, id) {
             send_forever(stream, &start, part, pause).await;
@@ -220,7 +242,7 @@
         }
         let complete = answer("200 OK", id, true, "", "whole");
         let response = match behaviour {
-            StubBehaviour::Healthy => complete,
+            StubBehaviour::Healthy | StubBehaviour::CrashesAfter(_) => complete,
             StubBehaviour::Slow(millis) => {
                 sleep(Duration::from_millis(millis)).await;
                 complete
