Order the news of memberships, so that they come to rest

Cause: while no leader is known, a keeper takes over any membership that another reports, and tells all its links of each change. Two keepers that hold two memberships swap them without end, and each swap is told to everybody: the queues of the links fill the memory.

Change: a membership carries the term and index of the log entry that set it, and only a later one is taken over from a peer. Each process then passes each membership on once.

--- a/crates/coordination/src/consensus/node.rs
+++ b/crates/coordination/src/consensus/node.rs
@@ -233,6 +233,13 @@
         self.log.membership().1
     }
 
+    /// Returns the term and index of the log entry that set the membership, by which an older
+    /// membership is told from a newer one.
+    pub fn membership_version(&self) -> (u64, u64) {
+        let (index, _) = self.log.membership();
+        (self.log.term_at(index).unwrap_or(0), index)
+    }
+
     /// Returns the index up to which the durable log of `node` is known to match this one.
     ///
     /// Only a leader keeps this up to date. Returns `None` for another node to which this
--- a/crates/service/src/directory.rs
+++ b/crates/service/src/directory.rs
@@ -9,6 +9,9 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use bergamotlane_coordination::clock::ClockTime;
 
 /// Time without a leader after which other keepers are tried, in milliseconds; it is the length of
@@ -21,13 +24,24 @@
 /// Time for which an address is remembered after it was last heard of, in milliseconds.
 const RETENTION_MS: u64 = 60_000;
 
+/// Members of the consensus group by their link addresses; the later log entry is the greater one.
+#[derive(Debug, Clone, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct GroupMembers {
+    /// Term of the log entry that set the membership.
+    pub term: u64,
+    /// Index of that entry.
+    pub index: u64,
+    /// Link addresses of the members.
+    pub addresses: BTreeSet<SocketAddr>,
+}
+
 /// Keepers that a process has heard of.
 #[derive(Debug)]
 pub struct KeeperDirectory {
     /// Name of the instance, which decides the order in which it tries other keepers.
     instance: String,
     seeds: BTreeSet<SocketAddr>,
-    members: BTreeSet<SocketAddr>,
+    members: GroupMembers,
     /// All keepers, with the time at which each was last heard of.
     known: BTreeMap<SocketAddr, ClockTime>,
     leaderless_since: Option<ClockTime>,
@@ -39,7 +53,7 @@
         Self {
             instance: instance.to_owned(),
             seeds,
-            members: BTreeSet::new(),
+            members: GroupMembers::default(),
             known: BTreeMap::new(),
             leaderless_since: Some(now),
         }
@@ -51,8 +65,8 @@
     }
 
     /// Replaces the members of the consensus group; an empty set is ignored.
-    pub fn set_members(&mut self, members: BTreeSet<SocketAddr>) {
-        if !members.is_empty() {
+    pub fn set_members(&mut self, members: GroupMembers) {
+        if !members.addresses.is_empty() {
             self.members = members;
         }
     }
@@ -71,29 +85,33 @@
         };
     }
 
-    /// Takes over the members that another keeper reports, unless this process knows a leader, whose
-    /// views are more recent, or members of its own.
-    pub fn hear_members(&mut self, members: BTreeSet<SocketAddr>) {
-        if self.members.is_empty() || self.leaderless_since.is_some() {
+    /// Takes over the members that another keeper reports if they are later than the known ones,
+    /// unless this process knows a leader, whose views are more recent.
+    ///
+    /// Without that order, keepers that hold two memberships would take them over from each other
+    /// and pass them on without end.
+    pub fn hear_members(&mut self, members: GroupMembers) {
+        let is_first = self.members.addresses.is_empty();
+        if is_first || (self.leaderless_since.is_some() && members > self.members) {
             self.set_members(members);
         }
     }
 
     /// Returns the members of the consensus group, as far as they are known.
-    pub fn members(&self) -> &BTreeSet<SocketAddr> {
+    pub fn members(&self) -> &GroupMembers {
         &self.members
     }
 
     /// Returns the keepers to link to first: the seeds and members.
     pub fn primary_peers(&self) -> BTreeSet<SocketAddr> {
-        self.seeds.union(&self.members).copied().collect()
+        self.seeds.union(&self.members.addresses).copied().collect()
     }
 
     /// Returns the addresses to link to now.
     pub fn peers(&self, now: ClockTime) -> BTreeSet<SocketAddr> {
         let mut peers = self.primary_peers();
         // Before the members are known, what other processes tell is all there is.
-        if self.members.is_empty() {
+        if self.members.addresses.is_empty() {
             peers.extend(self.known.keys());
             return peers;
         }
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::directory::GroupMembers;
 use crate::jobs::ItemEnd;
 use crate::plan::RoutingPlan;
 use crate::registry::TargetAnnouncement;
@@ -66,8 +67,8 @@
     pub removed: Vec<String>,
     /// Link addresses of all keepers.
     pub keepers: Option<BTreeSet<SocketAddr>>,
-    /// Link addresses of the members of the consensus group, one of which leads.
-    pub members: Option<BTreeSet<SocketAddr>>,
+    /// Members of the consensus group, one of which leads.
+    pub members: Option<GroupMembers>,
     /// Requests under which targets crashed.
     #[serde(default)]
     pub suspects: Option<Vec<SuspectView>>,
@@ -225,10 +226,10 @@
     },
     /// Update of the leader's view.
     View(Box<ViewFrame>),
-    /// Link addresses of the members of the consensus group, sent by a keeper on each new link and
+    /// Members of the consensus group, sent by a keeper on each new link and
     /// whenever they change. After a restart of all processes, the seeds may be the only ones that
     /// everybody knows, and have to hear of the members first themselves.
-    Members(BTreeSet<SocketAddr>),
+    Members(GroupMembers),
     /// Usage that a process has counted.
     Usage {
         /// ID of the process, as in [`HelloFrame::run`].
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -1,9 +1,7 @@
 //! State and event loop of the control thread.
 
 use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +16,7 @@
 use super::lead::LeaderState;
 use super::targets::load_targets;
 use crate::dialect::TargetDialect;
+use crate::directory::GroupMembers;
 use crate::directory::KeeperDirectory;
 use crate::forward::Forwarder;
 use crate::frames::HelloFrame;
@@ -130,7 +129,7 @@
     /// Time at which expired connections and calls are dropped next.
     prune_due: ClockTime,
     /// Members that linked processes were last told of.
-    pub(super) sent_members: BTreeSet<SocketAddr>,
+    pub(super) sent_members: GroupMembers,
     /// Time of the next update of the links.
     pub(super) peers_due: ClockTime,
     /// Proposed changes by log index.
@@ -231,7 +230,7 @@
             links: BTreeMap::new(),
             directory,
             prune_due: time,
-            sent_members: BTreeSet::new(),
+            sent_members: GroupMembers::default(),
             peers_due: time,
             pending: BTreeMap::new(),
             calls: PendingCalls::default(),
@@ -246,7 +245,7 @@
             texts_due: time,
         };
         core.restore_from_disk();
-        core.directory.set_members(core.member_addresses());
+        core.directory.set_members(core.members());
         core.update_peers();
         core
     }
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -201,7 +201,7 @@
     pub(super) fn on_members_changed(&mut self) {
         self.restart_text_replication();
         self.log_members();
-        self.directory.set_members(self.member_addresses());
+        self.directory.set_members(self.members());
         self.update_peers();
         if let Some(lead) = &mut self.lead {
             lead.changes.keepers = true;
--- a/crates/service/src/keeper/outputs.rs
+++ b/crates/service/src/keeper/outputs.rs
@@ -97,7 +97,7 @@
                 if snapshot.index > self.state.index {
                     self.restore(&snapshot);
                 }
-                self.directory.set_members(self.member_addresses());
+                self.directory.set_members(self.members());
                 self.update_peers();
             }
             ConsensusOutput::RoleChanged { role, term } => self.on_role_changed(role, term),
--- a/crates/service/src/keeper/peers.rs
+++ b/crates/service/src/keeper/peers.rs
@@ -56,7 +56,7 @@
             self.directory.learn(time, hello.keepers.iter().copied());
         }
         self.links.insert(link, (hello, dialled));
-        if !self.sent_members.is_empty() {
+        if !self.sent_members.addresses.is_empty() {
             let members = self.sent_members.clone();
             self.hub.send(link, &LinkFrame::Members(members));
         }
--- a/crates/service/src/keeper/view.rs
+++ b/crates/service/src/keeper/view.rs
@@ -9,6 +9,7 @@
 
 use super::core::KeeperCore;
 use crate::dialect::TargetDialect;
+use crate::directory::GroupMembers;
 use crate::frames::LinkFrame;
 use crate::frames::ViewFrame;
 use crate::link::LinkId;
@@ -66,20 +67,25 @@
         entries.count() as u32
     }
 
-    /// Returns the link addresses of the members of the consensus group.
-    pub(super) fn member_addresses(&self) -> BTreeSet<SocketAddr> {
-        let members = self
-            .voter
-            .iter()
-            .flat_map(|it| it.node.membership().members());
-        members
-            .filter_map(|(_, record)| record.address.parse().ok())
-            .collect()
+    /// Returns the members of the consensus group, none after storage failed.
+    pub(super) fn members(&self) -> GroupMembers {
+        let Some(voter) = &self.voter else {
+            return GroupMembers::default();
+        };
+        let (term, index) = voter.node.membership_version();
+        let records = voter.node.membership().members();
+        GroupMembers {
+            term,
+            index,
+            addresses: records
+                .filter_map(|(_, record)| record.address.parse().ok())
+                .collect(),
+        }
     }
 
     /// Returns the link addresses of all members and linked keepers, this one included.
     fn keeper_addresses(&self) -> BTreeSet<SocketAddr> {
-        let mut addresses = self.member_addresses();
+        let mut addresses = self.members().addresses;
         addresses.extend(self.links.values().filter_map(|(hello, _)| hello.address));
         addresses.insert(self.settings.link);
         addresses
@@ -138,7 +144,7 @@
             changed,
             removed,
             keepers: changes.keepers.then(|| self.keeper_addresses()),
-            members: changes.keepers.then(|| self.member_addresses()),
+            members: changes.keepers.then(|| self.members()),
             suspects: changes.suspects.then(|| self.suspect_views(time)),
             entries: self.entry_count(),
         };
--- a/crates/service/tests/directory.rs
+++ b/crates/service/tests/directory.rs
@@ -2,11 +2,13 @@
 //! others while no leader is known.
 
 use std::collections::BTreeSet;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use rstest::rstest;
 
 use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_service::directory::GroupMembers;
 use bergamotlane_service::directory::KeeperDirectory;
 
 const START: ClockTime = ClockTime(100_000);
@@ -21,11 +23,20 @@
     numbers.into_iter().map(address).collect()
 }
 
+/// Returns a group of members that the log entry at `index` set.
+fn group(index: u64, numbers: impl IntoIterator<Item = usize>) -> GroupMembers {
+    GroupMembers {
+        term: 1,
+        index,
+        addresses: addresses(numbers),
+    }
+}
+
 /// Returns the directory of an instance that knows three seeds, five members and `count` keepers.
 fn directory(count: usize) -> KeeperDirectory {
     let mut directory = KeeperDirectory::new(START, "front-1", addresses(0..3));
     directory.learn(START, addresses(0..count));
-    directory.set_members(addresses(3..8));
+    directory.set_members(group(1, 3..8));
     directory.set_leader_known(START, true);
     directory
 }
@@ -73,7 +84,7 @@
         let mut directory =
             KeeperDirectory::new(START, &format!("front-{number}"), addresses(0..3));
         directory.learn(START, addresses(0..45));
-        directory.set_members(addresses(3..8));
+        directory.set_members(group(1, 3..8));
         let peers = directory.peers(START + 2_000);
         firsts.extend(peers.difference(&addresses(0..8)).copied());
     }
@@ -83,7 +94,7 @@
 #[test]
 fn an_empty_group_does_not_replace_the_members_that_are_known() {
     let mut directory = directory(10);
-    directory.set_members(BTreeSet::new());
+    directory.set_members(GroupMembers::default());
     assert_eq!(directory.peers(START), addresses(0..8));
 }
 
@@ -92,7 +103,7 @@
 struct ModelProcess {
     directory: KeeperDirectory,
     own: Option<SocketAddr>,
-    told: BTreeSet<SocketAddr>,
+    told: GroupMembers,
 }
 
 /// Lets each process dial its peers, and each keeper tell its links of members. With
@@ -141,17 +152,17 @@
 /// Returns how many of 40 entries and 20 keepers can reach a member after all were restarted. The
 /// seeds have lost their disks and are no members any more; only the members know who they are.
 fn reachable_after_restart(tells_changes: bool) -> usize {
-    let members = addresses(10..15);
+    let members = group(1, 10..15);
     let mut processes: Vec<ModelProcess> = (0..60)
         .map(|number| ModelProcess {
             directory: KeeperDirectory::new(START, &format!("p{number}"), addresses(0..3)),
             own: (number >= 40).then(|| address(number - 40)),
-            told: BTreeSet::new(),
+            told: GroupMembers::default(),
         })
         .collect();
     for process in processes
         .iter_mut()
-        .filter(|it| it.own.is_some_and(|own| members.contains(&own)))
+        .filter(|it| it.own.is_some_and(|own| members.addresses.contains(&own)))
     {
         process.directory.set_members(members.clone());
     }
@@ -161,7 +172,11 @@
     }
     let reaches = |number: usize| {
         links.iter().any(|(from, to)| {
-            let is_member = |it: usize| processes[it].own.is_some_and(|own| members.contains(&own));
+            let is_member = |it: usize| {
+                processes[it]
+                    .own
+                    .is_some_and(|own| members.addresses.contains(&own))
+            };
             (*from == number && is_member(*to)) || (*to == number && is_member(*from))
         })
     };
@@ -185,7 +200,7 @@
         .map(|number| ModelProcess {
             directory: KeeperDirectory::new(START, &format!("p{number}"), seeds.clone()),
             own: (number >= 100).then(|| address(number - 100)),
-            told: BTreeSet::new(),
+            told: GroupMembers::default(),
         })
         .collect();
     let mut links = BTreeSet::new();
@@ -193,7 +208,7 @@
         play_round(&mut processes, &mut links, true);
         if round == 3 {
             for seed in 0..3 {
-                processes[100 + seed].directory.set_members(seeds.clone());
+                processes[100 + seed].directory.set_members(group(1, 0..3));
             }
         }
     }
@@ -206,9 +221,44 @@
 #[test]
 fn members_that_others_report_yield_to_those_of_a_known_leader() {
     let mut directory = directory(10);
-    directory.hear_members(addresses(20..25));
-    assert_eq!(directory.members(), &addresses(3..8));
+    directory.hear_members(group(2, 20..25));
+    assert_eq!(directory.members(), &group(1, 3..8));
     directory.set_leader_known(START, false);
-    directory.hear_members(addresses(20..25));
-    assert_eq!(directory.members(), &addresses(20..25));
+    directory.hear_members(group(2, 20..25));
+    assert_eq!(directory.members(), &group(2, 20..25));
+}
+
+/// Guards against keepers that tell each other of two memberships in turn, without end, while no
+/// leader is known: each change of one makes it tell all others.
+#[test]
+fn the_news_of_a_changed_membership_comes_to_rest() {
+    let count = 10;
+    let mut keepers: Vec<KeeperDirectory> = (0..count)
+        .map(|number| KeeperDirectory::new(START, &format!("k{number}"), addresses(0..3)))
+        .collect();
+    let mut queue = VecDeque::new();
+    for (number, keeper) in keepers.iter_mut().enumerate() {
+        let members = group(number as u64 % 2, 0..3 + number % 2);
+        keeper.set_members(members.clone());
+        queue.extend(
+            (0..count)
+                .filter(|it| *it != number)
+                .map(|it| (it, members.clone())),
+        );
+    }
+    let mut told = 0;
+    while let Some((to, members)) = queue.pop_front() {
+        told += 1;
+        assert!(told <= 200, "the keepers tell each other without end");
+        let known = keepers[to].members().clone();
+        keepers[to].hear_members(members);
+        if *keepers[to].members() != known {
+            let members = keepers[to].members().clone();
+            queue.extend(
+                (0..count)
+                    .filter(|it| *it != to)
+                    .map(|it| (it, members.clone())),
+            );
+        }
+    }
 }
