Stop a request that crashes its targets at all daemons, too

The same cause as in the service: a look-up whose target ended was retried at the next one, and each daemon took the caller's next attempt for new. The daemons now use the same table (policy::suspect): crashes travel with the asks to the leader, which counts them, and its suspects with the views. The refusal is `quarantined`, not run.

A process that ends may close its connections before it stops listening, as the daemon's test showed (the probe found a target listening that was gone a moment later), so both probes look twice.

--- a/crates/daemon/src/control/asks.rs
+++ b/crates/daemon/src/control/asks.rs
@@ -57,6 +57,7 @@
         }
         self.record_instance(time, from, &ask);
         self.merge_usage(time, from, ask.usage.as_ref());
+        self.shared.suspects.merge(&ask.crashes, &ask.answered);
         let Some(view) = self.build_view(time, from, &ask) else {
             return;
         };
@@ -188,6 +189,7 @@
             shares: Vec::new(),
             usage_merged: self.state.usage.merged(from),
             roster,
+            suspects: self.shared.suspects.frames(),
         };
         view.slots = self.grant_slots(time, from, ask);
         view.shares = self.grant_shares(time, from, ask.sequence, &ask.shares);
--- a/crates/daemon/src/control/follower.rs
+++ b/crates/daemon/src/control/follower.rs
@@ -187,6 +187,7 @@
             let deltas = deltas.iter().map(UsageDeltaWire::from).collect();
             (sequence, deltas)
         });
+        let (crashes, answered) = self.shared.suspects.reports();
         AskFrame {
             sent_at: time.0,
             sequence: self.follower.sequence,
@@ -198,6 +199,8 @@
             shares: self.share_demands(time),
             usage,
             draining: self.shared.is_draining(),
+            crashes,
+            answered,
         }
     }
 
@@ -245,6 +248,7 @@
                 true => (view.leader, view.registry),
                 false => (0, 0),
             };
+        self.shared.suspects.replace(&view.suspects);
         self.meter.mark_merged(view.usage_merged);
         let until = ClockTime(view.sent_at) + view.slot_lease_ms;
         self.apply_slot_allocations(until, view.sequence, view.slots);
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -17,6 +17,7 @@
 mod serve;
 mod settings;
 mod shared;
+mod suspects;
 
 use std::env;
 use std::process::ExitCode;
--- a/crates/daemon/src/serve/lookup.rs
+++ b/crates/daemon/src/serve/lookup.rs
@@ -33,9 +33,11 @@
 use crate::gate::SlotGuard;
 use crate::rollout::customer_hash;
 use crate::shared::RequestGuard;
+use crate::suspects::is_abandoned;
 use bergamotlane_policy::fair::RequestRank;
 use bergamotlane_policy::plan::KeyHash;
 use bergamotlane_policy::retry::backoff_ms;
+use bergamotlane_policy::suspect::RequestDigest;
 use bergamotlane_policy::targets::ChoiceRequest;
 use bergamotlane_wire::http::REQUEST_ID_HEADER;
 
@@ -54,6 +56,20 @@
     body: Bytes,
 }
 
+impl OutboundCall {
+    /// Returns the digest of the call's content, the same for each attempt of a caller.
+    fn digest(&self, service: &str, customer: &str) -> RequestDigest {
+        RequestDigest::of(&[
+            customer.as_bytes(),
+            service.as_bytes(),
+            self.method.as_str().as_bytes(),
+            self.path.as_bytes(),
+            self.head.query.as_deref().unwrap_or_default().as_bytes(),
+            &self.body,
+        ])
+    }
+}
+
 /// Why an attempt got no response, and whether it may have run.
 enum AttemptFailure {
     /// No byte was sent, so that it can't have run.
@@ -62,6 +78,13 @@
     Sent(Refusal),
 }
 
+impl AttemptFailure {
+    /// Returns whether the attempt may have run.
+    fn is_sent(&self) -> bool {
+        matches!(self, Self::Sent(_))
+    }
+}
+
 /// Forwards a request to a target of `service`, under the path `rest`.
 ///
 /// # Errors
@@ -203,11 +226,22 @@
         deadline: call.deadline,
         choice: ChoiceRequest::default(),
     };
+    let suspects = &context.shared.suspects;
+    let digest = || outbound.digest(service, customer);
+    let known_suspect = suspects.find(digest);
+    if known_suspect.is_some_and(|it| suspects.is_quarantined(it)) {
+        return Err(AttemptFailure::NotSent(Refusal::quarantined()));
+    }
     context.shared.retries.earn();
     let mut sent_refusal = None;
     for attempt in 0..MAX_ATTEMPTS {
         if attempt > 0 {
-            if now() >= call.deadline || !context.shared.retries.spend() {
+            // A request under which targets crashed before gets one attempt alone.
+            let is_stopped = known_suspect.is_some()
+                || suspects
+                    .find(digest)
+                    .is_some_and(|it| suspects.is_quarantined(it));
+            if is_stopped || now() >= call.deadline || !context.shared.retries.spend() {
                 break;
             }
             context.shared.metrics.retries.inc();
@@ -229,9 +263,18 @@
             false => left_ms,
         };
         match send_once(context, &slot, outbound, timeout_ms).await {
-            Ok(response) => return Ok((slot, response)),
+            Ok(response) => {
+                if let Some(digest) = suspects.find(digest) {
+                    suspects.record_answer(digest);
+                }
+                return Ok((slot, response));
+            }
             Err(failure) => {
                 slot.report(false);
+                if failure.is_sent() && is_abandoned(&slot.target.address).await {
+                    let target = &slot.target;
+                    suspects.record_crash(digest(), &target.address, target.identity);
+                }
                 request.choice.avoid = Some(slot.target.identity);
                 match failure {
                     AttemptFailure::NotSent(refusal) if attempt + 1 == MAX_ATTEMPTS => {
--- a/crates/daemon/src/serve/refusal.rs
+++ b/crates/daemon/src/serve/refusal.rs
@@ -106,6 +106,12 @@
         Self::not_run(StatusCode::BAD_GATEWAY, "target-unreachable", message)
     }
 
+    /// Returns the refusal of a call under which targets crashed, so that it isn't sent again.
+    pub fn quarantined() -> Self {
+        let message = "targets crashed under this request; it is not sent for a while";
+        Self::not_run(StatusCode::SERVICE_UNAVAILABLE, "quarantined", message)
+    }
+
     /// Returns the refusal of a call whose deadline passed after it was sent.
     pub fn deadline_passed() -> Self {
         let message = "the deadline passed";
--- a/crates/daemon/src/shared.rs
+++ b/crates/daemon/src/shared.rs
@@ -15,6 +15,7 @@
 
 use crate::gate::ServiceGate;
 use crate::metrics::DaemonMetrics;
+use crate::suspects::SuspectBoard;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::ident::RunId;
 use bergamotlane_policy::meter::UsageCounter;
@@ -187,6 +188,8 @@
     pub affinity: AffinityTable,
     /// Budget that limits retries to a part of all requests.
     pub retries: RetryBudget,
+    /// Requests under which targets crashed.
+    pub suspects: SuspectBoard,
     /// Metrics of this process.
     pub metrics: DaemonMetrics,
 }
@@ -202,6 +205,7 @@
             busy: AtomicU32::new(0),
             affinity: AffinityTable::default(),
             retries: RetryBudget::default(),
+            suspects: SuspectBoard::default(),
             metrics,
         })
     }
--- a/crates/daemon/tests/processes/faults.rs
+++ b/crates/daemon/tests/processes/faults.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use reqwest::Method;
 use rstest::rstest;
@@ -349,3 +350,30 @@
         .bearer_auth("proof-desk-target-key");
     assert_eq!(outcome(request.json(&body)).await, "401 not-run");
 }
+
+/// Guards against a request that crashes one target after the other, since each attempt is retried
+/// and each daemon takes it for new: after three crashes it must be stopped.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_that_crashes_its_targets_is_stopped_at_all_daemons() {
+    let mut cluster = Cluster::start(3, 3, 3).await;
+    for _ in 0..6 {
+        cluster.target("plain", "proof-desk", &[]).await;
+    }
+    for round in 0..9 {
+        let deadly = cluster.call(round % 3, Method::GET, "/s/proof-desk/item/deadly");
+        let outcome = outcome(deadly).await;
+        assert!(outcome.starts_with("50"), "{outcome}");
+        // The daemons hear of it with their next asks.
+        tokio::time::sleep(Duration::from_secs(1)).await;
+    }
+    let crashes = cluster.exited_standins();
+    assert!(
+        (1..=3).contains(&crashes),
+        "{crashes} of six targets crashed"
+    );
+    for round in 0..9 {
+        let path = format!("/s/proof-desk/item/{round}");
+        let lookup = cluster.call(round % 3, Method::GET, &path);
+        assert_eq!(outcome(lookup).await, "answered");
+    }
+}
--- a/crates/daemon/tests/processes/support.rs
+++ b/crates/daemon/tests/processes/support.rs
@@ -178,6 +178,13 @@
         self.standins.push(Process { child });
     }
 
+    /// Returns the number of stand-ins that have exited.
+    pub fn exited_standins(&mut self) -> usize {
+        let standins = self.standins.iter_mut();
+        let exited = standins.filter_map(|it| it.child.try_wait().ok().flatten());
+        exited.count()
+    }
+
     /// Starts the daemon at `index`, with the data folder of its earlier runs.
     pub fn start_daemon(&mut self, index: usize) {
         let own = self.addresses[index];
--- a/crates/service/src/pool.rs
+++ b/crates/service/src/pool.rs
@@ -20,6 +20,7 @@
 use hyper_util::rt::TokioIo;
 use thiserror::Error;
 use tokio::net::TcpStream;
+use tokio::time::sleep;
 use tokio::time::timeout;
 
 use bergamotlane_coordination::clock::ClockTime;
@@ -31,6 +32,9 @@
 /// Time limit for the check whether a target still listens.
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
 
+/// Time between two such checks.
+const PROBE_PAUSE: Duration = Duration::from_millis(15);
+
 /// Time for which sent data may stay unacknowledged before the connection fails.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
@@ -212,10 +216,12 @@
     /// Returns whether no process listens at an address any more. An address that doesn't answer at
     /// all counts as in use.
     pub async fn is_abandoned(&self, address: SocketAddr) -> bool {
-        match timeout(PROBE_LIMIT, TcpStream::connect(address)).await {
-            Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
-            Ok(Ok(_)) | Err(_) => false,
+        if refuses_connections(address).await {
+            return true;
         }
+        // A process that ends may close its connections before it stops listening.
+        sleep(PROBE_PAUSE).await;
+        refuses_connections(address).await
     }
 
     /// Pairs an answer with its connection, which may return to the pool until its idle limit.
@@ -236,6 +242,14 @@
     }
 }
 
+/// Returns whether connections to an address are refused at once.
+async fn refuses_connections(address: SocketAddr) -> bool {
+    match timeout(PROBE_LIMIT, TcpStream::connect(address)).await {
+        Ok(Err(error)) => error.kind() == io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
+
 /// Returns the idle limit that the target states in its `keep-alive` header, in milliseconds.
 fn idle_limit_ms(headers: &HeaderMap) -> Option<u64> {
     let value = headers.get("keep-alive")?.to_str().ok()?;
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -36,6 +36,9 @@
 /// first part is sent before the error.
 const TRUNCATION_DELAY: Duration = Duration::from_millis(100);
 
+/// End of the paths whose calls always crash the service.
+const DEADLY_END: &str = "/deadly";
+
 /// Settings and counters of a plain service.
 #[derive(Debug, Default)]
 pub struct PlainState {
@@ -145,7 +148,10 @@
         FaultKind::Truncate,
         FaultKind::Wrong,
     ];
-    let fault = state.faults.take(&kinds);
+    let fault = match path.ends_with(DEADLY_END) {
+        true => Some(FaultKind::Crash),
+        false => state.faults.take(&kinds),
+    };
     match fault {
         Some(FaultKind::Crash) => std::process::exit(9),
         Some(FaultKind::Stall | FaultKind::Silent) => sleep(STALL_DURATION).await,
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -125,6 +125,34 @@
     pub usage: Option<(u64, Vec<UsageDeltaWire>)>,
     /// Whether the sender is draining: it finishes its work and accepts no new work.
     pub draining: bool,
+    /// Crashes of targets under requests that the sender saw lately.
+    #[serde(default)]
+    pub crashes: Vec<CrashFrame>,
+    /// Digests of suspected requests that targets of the sender answered lately.
+    #[serde(default)]
+    pub answered: Vec<[u8; 16]>,
+}
+
+/// Crash of a target while it ran a request.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashFrame {
+    /// Digest of the request.
+    pub digest: [u8; 16],
+    /// Address of the target, `ip:port`.
+    pub target: String,
+    /// Number that identifies the target until it restarts.
+    pub identity: u64,
+}
+
+/// Request under which targets crashed, as the leader knows it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SuspectFrame {
+    /// Digest of the request.
+    pub digest: [u8; 16],
+    /// Number of targets that crashed under it.
+    pub crashes: u32,
+    /// Time left of its quarantine, in milliseconds.
+    pub quarantine_left_ms: u64,
 }
 
 /// Entry of the leader's target registry.
@@ -208,6 +236,9 @@
     pub usage_merged: u64,
     /// Current roster, or `None` if the instance already has it.
     pub roster: Option<RosterFrame>,
+    /// Requests under which targets crashed.
+    #[serde(default)]
+    pub suspects: Vec<SuspectFrame>,
 }
 
 /// Reason why the outcome of a command isn't available.
