Say that a call may have run although its last attempt could not connect

What callers saw: "502 not-run" for a repeatable look-up that had crashed a target.

Cause: the daemon forgot an attempt that may have run as soon as it took a slot for the next one, and the failure of the last attempt alone decided the answer.

--- a/crates/daemon/src/serve/lookup.rs
+++ b/crates/daemon/src/serve/lookup.rs
@@ -250,10 +250,9 @@
         }
         request.choice.spread = rand::random();
         let slot = acquire_slot(context, &gate, &request).await;
-        let slot = match (slot, sent_refusal.take()) {
-            (Ok(slot), _) => slot,
-            (Err(_), Some(refusal)) => return Err(AttemptFailure::Sent(refusal)),
-            (Err(refusal), None) => return Err(AttemptFailure::NotSent(refusal)),
+        let slot = match slot {
+            Ok(slot) => slot,
+            Err(refusal) => return Err(final_failure(sent_refusal, refusal)),
         };
         let left_ms = call.deadline.since(now());
         // Share the remaining time among the attempts left, so that a silent target leaves
@@ -278,7 +277,7 @@
                 request.choice.avoid = Some(slot.target.identity);
                 match failure {
                     AttemptFailure::NotSent(refusal) if attempt + 1 == MAX_ATTEMPTS => {
-                        return Err(AttemptFailure::NotSent(refusal));
+                        return Err(final_failure(sent_refusal, refusal));
                     }
                     AttemptFailure::NotSent(_) => {}
                     AttemptFailure::Sent(refusal) if !repeatable => {
@@ -289,10 +288,16 @@
             }
         }
     }
-    Err(match sent_refusal {
+    Err(final_failure(sent_refusal, Refusal::target_unreachable()))
+}
+
+/// Returns how a call ends that gets no response. `sent` is the refusal of an attempt that may have
+/// run, if there was one; whatever came after it, the call may have run.
+fn final_failure(sent: Option<Refusal>, not_sent: Refusal) -> AttemptFailure {
+    match sent {
         Some(refusal) => AttemptFailure::Sent(refusal),
-        None => AttemptFailure::NotSent(Refusal::target_unreachable()),
-    })
+        None => AttemptFailure::NotSent(not_sent),
+    }
 }
 
 /// Waits for a slot of a target of the service.
--- a/crates/daemon/tests/processes/faults.rs
+++ b/crates/daemon/tests/processes/faults.rs
@@ -377,3 +377,22 @@
         assert_eq!(outcome(lookup).await, "answered");
     }
 }
+
+/// Guards against a call that is said not to have run, since its last attempt could not connect,
+/// although an earlier one crashed its target.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_call_that_crashed_a_target_may_have_run_although_the_next_target_is_gone() {
+    let mut cluster = Cluster::start(1, 1, 1).await;
+    let gone = cluster.target("plain", "proof-desk", &[]).await;
+    cluster.target("plain", "proof-desk", &[]).await;
+    cluster.fault(gone, "crash", 1).await;
+    for round in 0..CALLS {
+        let path = format!("/s/proof-desk/item/{round}");
+        outcome(cluster.call(0, Method::GET, &path)).await;
+    }
+    assert_eq!(cluster.exited_standins(), 1);
+    let deadly = cluster.call(0, Method::GET, "/s/proof-desk/item/deadly");
+    let outcome = outcome(deadly).await;
+    assert_eq!(cluster.exited_standins(), 2);
+    assert_eq!(outcome, "502 may-have-run");
+}
