Bound what waits on a link for a peer that does not read

The class: a queue without a bound.

A link whose queue is full ends, since one that goes on would lack a frame (views are sent as changes); its peer connects again and gets the whole view.

--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod logs;
 pub mod metrics;
 pub mod order;
+mod outbox;
 mod parts;
 pub mod payload;
 pub mod permits;
--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -30,6 +30,10 @@
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
 use crate::frames::LinkFrame;
+use crate::outbox::FrameQueue;
+use crate::outbox::FrameSender;
+use crate::outbox::QueueFailure;
+use crate::outbox::frame_queue;
 use crate::parts::PART_BYTES;
 use crate::parts::feed_frame;
 use crate::parts::next_frame;
@@ -119,7 +123,7 @@
 struct HubState {
     hello: HelloFrame,
     hint: LeadHint,
-    links: HashMap<LinkId, mpsc::UnboundedSender<Bytes>>,
+    links: HashMap<LinkId, FrameSender>,
     /// Addresses for which a dialling task runs.
     dialled: HashSet<SocketAddr>,
     /// Addresses to which links are maintained.
@@ -170,10 +174,30 @@
     }
 
     /// Queues an encoded frame on a link; returns false if the link is down.
+    ///
+    /// If too much waits for the peer already, the link ends once what waits is sent or the peer has
+    /// been silent for too long: a link that goes on must not lack a frame.
     pub fn send_encoded(&self, link: LinkId, frame: Bytes) -> bool {
+        let mut state = self.state();
+        let Some(sender) = state.links.get(&link) else {
+            return false;
+        };
+        match sender.send(frame) {
+            Ok(()) => true,
+            Err(QueueFailure::Closed) => false,
+            Err(QueueFailure::Full) => {
+                spdlog::warn!("link: peer does not read, link ends", kv: { link = link.0, queued_bytes = sender.queued_bytes() });
+                state.links.remove(&link);
+                false
+            }
+        }
+    }
+
+    /// Returns the number of links, and the size of all frames that wait on them, in bytes.
+    pub fn load(&self) -> (usize, usize) {
         let state = self.state();
-        let sender = state.links.get(&link);
-        sender.is_some_and(|it| it.send(frame).is_ok())
+        let queued_bytes = state.links.values().map(FrameSender::queued_bytes);
+        (state.links.len(), queued_bytes.sum())
     }
 
     /// Maintains links to exactly these addresses, except this process's own. Existing links to
@@ -275,7 +299,7 @@
     }
 
     async fn run(&self, socket: Socket, hello: HelloFrame, dialled: bool) {
-        let (sender, outbound) = mpsc::unbounded_channel();
+        let (sender, outbound) = frame_queue();
         let link = {
             let mut state = self.state();
             state.next_link += 1;
@@ -302,12 +326,7 @@
     }
 
     /// Sends queued frames and reports received ones until the link fails.
-    async fn transfer(
-        &self,
-        socket: Socket,
-        link: LinkId,
-        mut outbound: mpsc::UnboundedReceiver<Bytes>,
-    ) -> LinkError {
+    async fn transfer(&self, socket: Socket, link: LinkId, mut outbound: FrameQueue) -> LinkError {
         let (mut sink, mut source) = socket.split();
         let write = async {
             loop {
@@ -323,8 +342,8 @@
                     feed_frame(&mut sink, &first).await?;
                     for _ in 0..FLUSH_AFTER_FRAMES {
                         match outbound.try_recv() {
-                            Ok(frame) => feed_frame(&mut sink, &frame).await?,
-                            Err(_) => break,
+                            Some(frame) => feed_frame(&mut sink, &frame).await?,
+                            None => break,
                         }
                     }
                     sink.flush().await
