Report a keeper's memory and what takes it

A line "memory: grown" and gauges name links, frames that wait, log, texts, jobs and runs beside the resident memory, twice a second, and a line for each 16 MB of growth.

--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -14,6 +14,7 @@
 use super::KeeperEvent;
 use super::KeeperSettings;
 use super::lead::LeaderState;
+use super::memory::MemoryReport;
 use super::targets::load_targets;
 use crate::dialect::TargetDialect;
 use crate::directory::GroupMembers;
@@ -153,6 +154,7 @@
     pub(super) text_journal: Option<TextJournal>,
     /// Time of the next replication of partial texts.
     pub(super) texts_due: ClockTime,
+    pub(super) memory: MemoryReport,
 }
 
 fn open_voter(folder: DataFolder, content: FolderContent, time: ClockTime) -> DiskVoter {
@@ -243,6 +245,7 @@
             texts,
             text_journal,
             texts_due: time,
+            memory: MemoryReport::default(),
         };
         core.restore_from_disk();
         core.directory.set_members(core.members());
@@ -315,6 +318,7 @@
         self.process_outputs();
         self.maintain_texts(time);
         self.save_targets_if_due(time);
+        self.report_memory(time);
         if time >= self.prune_due {
             self.prune_due = time + PRUNE_INTERVAL_MS;
             self.calls.prune();
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -339,7 +339,6 @@
             return;
         }
         let engines = self.engine_slots(time);
-        let log_bytes = self.voter.as_ref().map_or(0, |it| it.folder.log_bytes());
         let Some(lead) = &mut self.lead else {
             return;
         };
@@ -351,7 +350,6 @@
         METRICS.scores_waiting.set(scores_waiting as i64);
         METRICS.reward_calls_active.set(calls_active as i64);
         METRICS.targets.set(lead.registry.iter().count() as i64);
-        METRICS.log_bytes.set(log_bytes as i64);
         for (key, run) in &lead.runs {
             if let Some(pace) = run.progress.pace_ms() {
                 lead.scheduler.observe(*key, pace);
--- /dev/null
+++ b/crates/service/src/keeper/memory.rs
@@ -0,0 +1,63 @@
+//! Report of the keeper's memory, and of what takes it.
+
+use std::fs;
+
+use super::core::KeeperCore;
+use crate::dialect::TargetDialect;
+use crate::metrics::METRICS;
+use bergamotlane_coordination::clock::ClockTime;
+
+/// Interval at which the memory is read, in milliseconds.
+const MEMORY_INTERVAL_MS: u64 = 500;
+
+/// Growth of the resident memory above its last report that is reported, in KB.
+const REPORTED_GROWTH_KB: u64 = 16 * 1024;
+
+/// When the memory is read next, and what was reported last.
+#[derive(Debug, Default)]
+pub(super) struct MemoryReport {
+    due: ClockTime,
+    reported_kb: u64,
+}
+
+/// Returns the resident memory of this process in KB, or `None` if the system doesn't tell.
+fn resident_kb() -> Option<u64> {
+    let status = fs::read_to_string("/proc/self/status").ok()?;
+    let line = status.lines().find_map(|it| it.strip_prefix("VmRSS:"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
+impl<D: TargetDialect> KeeperCore<D> {
+    /// Updates the gauges of what is held in memory, and logs them whenever the resident memory has
+    /// grown by [`REPORTED_GROWTH_KB`].
+    pub(super) fn report_memory(&mut self, time: ClockTime) {
+        if time < self.memory.due {
+            return;
+        }
+        self.memory.due = time + MEMORY_INTERVAL_MS;
+        let (links, queued_bytes) = self.hub.load();
+        let log_bytes = self.voter.as_ref().map_or(0, |it| it.folder.log_bytes());
+        METRICS.links.set(links as i64);
+        METRICS.queued_bytes.set(queued_bytes as i64);
+        METRICS.partial_texts.set(self.texts.len() as i64);
+        METRICS.log_bytes.set(log_bytes as i64);
+        let Some(resident_kb) = resident_kb() else {
+            return;
+        };
+        METRICS.resident_kb.set(resident_kb as i64);
+        if resident_kb < self.memory.reported_kb + REPORTED_GROWTH_KB {
+            return;
+        }
+        self.memory.reported_kb = resident_kb;
+        let runs = self.lead.as_ref().map_or(0, |it| it.runs.len());
+        spdlog::info!("memory: grown", kv: {
+            resident_kb,
+            links,
+            queued_bytes,
+            log_bytes,
+            texts = self.texts.len(),
+            jobs = self.state.jobs.iter().count(),
+            runs,
+        });
+    }
+}
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -12,6 +12,7 @@
 mod effects;
 mod lead;
 mod limits;
+mod memory;
 mod orders;
 mod outputs;
 mod peers;
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -68,6 +68,14 @@
     pub targets: IntGauge,
     /// Version of the routing plan in force.
     pub plan_version: IntGauge,
+    /// Number of links.
+    pub links: IntGauge,
+    /// Size of the frames that wait on links, in bytes.
+    pub queued_bytes: IntGauge,
+    /// Number of partial texts that are kept.
+    pub partial_texts: IntGauge,
+    /// Resident memory, in KB.
+    pub resident_kb: IntGauge,
     /// Size of the consensus log, in bytes.
     pub log_bytes: IntGauge,
     lines_dropped: IntGauge,
@@ -126,6 +134,10 @@
             runs_active: gauge("item_runs_active", "Runs in progress."),
             targets: gauge("targets_known", "Targets that are known."),
             plan_version: gauge("plan_version", "Version of the plan in force."),
+            links: gauge("links", "Links to other processes."),
+            queued_bytes: gauge("link_queued_bytes", "Frames that wait on links."),
+            partial_texts: gauge("partial_texts", "Partial texts that are kept."),
+            resident_kb: gauge("resident_kb", "Resident memory."),
             log_bytes: gauge("log_bytes", "Size of the log."),
             lines_dropped: gauge("log_lines_dropped", "Log lines dropped, queue full."),
             registry,
