--- /dev/null
+++ b/crates/service/src/forward/attempt.rs
@@ -0,0 +1,210 @@
+//! One try of a request at one target.
+
+use std::sync::Mutex;
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use http::Request;
+use http::StatusCode;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use spdlog::Level;
+use tokio::time::timeout;
+
+use super::Forwarder;
+use super::lock;
+use crate::choice::TargetChooser;
+use crate::dialect::RequestMetadata;
+use crate::dialect::TargetDialect;
+use crate::metrics::METRICS;
+use crate::plain::PlainAnswer;
+use crate::plain::PlainRequest;
+use crate::plan::RouteKind;
+use crate::pool::SendError;
+use crate::registry::TargetAnnouncement;
+use crate::registry::TargetEntry;
+use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_policy::rate::RequestRate;
+use bergamotlane_storage::clock::now;
+
+/// Largest body of an answer, in bytes; the complete body is buffered.
+const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
+
+/// Outcome of one try at a target.
+pub(super) enum TryOutcome {
+    Answered(PlainAnswer),
+    /// The target refused the request without running it.
+    NotRun,
+    /// No connection could be made.
+    Unsent,
+    /// The connection broke after the request may have run.
+    Broken,
+    /// The try failed after the request may have run.
+    Failed,
+    /// The target crashed while the request may have run.
+    Crashed,
+}
+
+/// Returns the outcome's metric label.
+fn outcome_label(end: &TryOutcome) -> &'static str {
+    match end {
+        TryOutcome::Answered(_) => "answered",
+        TryOutcome::NotRun => "not run",
+        TryOutcome::Unsent => "not sent",
+        TryOutcome::Broken | TryOutcome::Failed => "failed",
+        TryOutcome::Crashed => "crashed",
+    }
+}
+
+/// Counts a request as outstanding at its target until it is dropped.
+struct OutstandingGuard<'a> {
+    chooser: &'a Mutex<TargetChooser>,
+    target: String,
+    started: ClockTime,
+    recorded: bool,
+}
+
+impl OutstandingGuard<'_> {
+    /// Records the outcome of the try with the chooser.
+    fn record(&mut self, ok: bool) {
+        let time = now();
+        let latency = ok.then(|| time.since(self.started));
+        lock(self.chooser).finish_request(time, &self.target, latency);
+        self.recorded = true;
+    }
+}
+
+impl Drop for OutstandingGuard<'_> {
+    fn drop(&mut self) {
+        if !self.recorded {
+            lock(self.chooser).release_request(&self.target);
+        }
+    }
+}
+
+impl<D: TargetDialect> Forwarder<D> {
+    /// Sends a request to a target and waits for the outcome.
+    pub(super) async fn try_target(
+        &self,
+        request: &PlainRequest,
+        target: TargetEntry,
+        left_ms: u64,
+    ) -> TryOutcome {
+        let mut guard = OutstandingGuard {
+            chooser: &self.chooser,
+            target: target.announcement.id.clone(),
+            started: now(),
+            recorded: false,
+        };
+        let sent = self.send(request, &target, left_ms);
+        let limit = Duration::from_millis(left_ms);
+        let mut end = match timeout(limit, sent).boxed().await {
+            Ok(end) => end,
+            Err(_) => TryOutcome::Failed,
+        };
+        if matches!(end, TryOutcome::Broken) {
+            end = self.classify_break(request, &target.announcement).await;
+        }
+        match &end {
+            TryOutcome::Answered(answer) => guard.record(!answer.status.is_server_error()),
+            TryOutcome::NotRun => {}
+            TryOutcome::Unsent | TryOutcome::Broken | TryOutcome::Failed | TryOutcome::Crashed => {
+                guard.record(false)
+            }
+        }
+        METRICS
+            .tries
+            .with_label_values(&[outcome_label(&end)])
+            .inc();
+        let level = match &end {
+            TryOutcome::Answered(answer) if answer.status.is_success() => Level::Debug,
+            _ => Level::Info,
+        };
+        spdlog::log!(level, "request: target tried", kv: {
+            request = request.id.as_str(),
+            target = target.announcement.id.as_str(),
+            outcome = outcome_label(&end),
+            took_ms = now().since(guard.started),
+        });
+        end
+    }
+
+    async fn send(&self, request: &PlainRequest, target: &TargetEntry, left_ms: u64) -> TryOutcome {
+        let mut headers = request.headers.clone();
+        let metadata = RequestMetadata {
+            request_id: &request.id,
+            target: &target.announcement.id,
+            time_left_ms: Some(left_ms),
+            customer: request.customer.as_deref(),
+            version: None,
+            last_event: None,
+        };
+        self.dialect.write_metadata(&mut headers, &metadata);
+        let message = Request::builder()
+            .method(request.method.clone())
+            .uri(&request.path)
+            .body(Full::new(request.body.clone()));
+        let Ok(mut message) = message else {
+            return TryOutcome::NotRun;
+        };
+        *message.headers_mut() = headers;
+        let idempotent = request.kind == RouteKind::Safe;
+        let sent_at = now();
+        let may_repeat = idempotent && self.suspects.find(request).is_none();
+        let sent = self
+            .pool
+            .send(target.announcement.address, message, may_repeat);
+        let (response, connection) = match sent.await {
+            Ok(answer) => answer,
+            Err(SendError::Connect) => return TryOutcome::Unsent,
+            Err(SendError::Gone | SendError::Broken(_)) => return TryOutcome::Broken,
+        };
+        let (head, body) = response.into_parts();
+        let metadata = self.dialect.read_metadata(&head.headers);
+        if metadata
+            .request_id
+            .as_ref()
+            .is_some_and(|it| *it != request.id)
+        {
+            return TryOutcome::Failed;
+        }
+        self.record_limit(&target.announcement.id, metadata.rate_limit, sent_at);
+        let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
+        let Ok(body) = limited.collect().await else {
+            return TryOutcome::Broken;
+        };
+        connection.keep();
+        if metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
+            return TryOutcome::NotRun;
+        }
+        if head.status.is_success() && (metadata.stamp.is_none() || metadata.request_id.is_none()) {
+            return TryOutcome::Failed;
+        }
+        TryOutcome::Answered(PlainAnswer {
+            status: head.status,
+            stamp: metadata.stamp,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
+    }
+
+    /// Returns how a try ended whose connection broke, and records it if the target crashed.
+    async fn classify_break(
+        &self,
+        request: &PlainRequest,
+        target: &TargetAnnouncement,
+    ) -> TryOutcome {
+        if !self.pool.is_abandoned(target.address).await {
+            return TryOutcome::Failed;
+        }
+        self.suspects.record_crash(request, target);
+        TryOutcome::Crashed
+    }
+
+    /// Records the limit that a target names in its answer, and tells the leader if that is news.
+    fn record_limit(&self, target: &str, rate: Option<RequestRate>, sent_at: ClockTime) {
+        if self.chooser().name_limit(now(), target, rate, sent_at) {
+            self.permits.report(target, rate, sent_at);
+        }
+    }
+}
--- /dev/null
+++ b/crates/service/src/forward/progress.rs
@@ -0,0 +1,116 @@
+//! What the tries of a forwarded request have shown so far, and what follows from it.
+
+use http::StatusCode;
+
+use super::attempt::TryOutcome;
+use crate::permits::return_ms;
+use crate::plain::PlainAnswer;
+use crate::plain::PlainOutcome;
+use crate::plain::PlainRequest;
+use crate::plan::RouteKind;
+use crate::registry::TargetEntry;
+use bergamotlane_policy::suspect::RequestDigest;
+
+/// Number of the first rejection of a request by a target that counts as an attempt, as all later
+/// ones do.
+const MAX_REJECTIONS: usize = 6;
+
+/// State of a request while it is forwarded.
+pub(super) struct ForwardProgress {
+    is_idempotent: bool,
+    max_attempts: u32,
+    attempts: u32,
+    rejections: usize,
+    /// Set once a try failed after the request may have run, with the error answer if any.
+    failed: Option<Option<PlainAnswer>>,
+    /// IDs of the targets that were tried.
+    pub(super) tried: Vec<String>,
+    /// Time until a permit for a target becomes free, if none could be had, in milliseconds.
+    pub(super) free_in_ms: Option<u64>,
+    /// Digest of the request if a target crashed under it.
+    pub(super) suspect: Option<RequestDigest>,
+    pub(super) may_have_run: bool,
+    /// Number of answers with status 500.
+    pub(super) server_errors: u32,
+}
+
+impl ForwardProgress {
+    /// Returns the state of a request before its first try. A request under which a target crashed
+    /// earlier gets one attempt alone.
+    pub(super) fn new(request: &PlainRequest, suspect: Option<RequestDigest>) -> Self {
+        Self {
+            is_idempotent: request.kind == RouteKind::Safe,
+            max_attempts: match suspect {
+                Some(_) => 1,
+                None => request.max_attempts,
+            },
+            attempts: 0,
+            rejections: 0,
+            failed: None,
+            tried: Vec::new(),
+            free_in_ms: None,
+            suspect,
+            may_have_run: false,
+            server_errors: 0,
+        }
+    }
+
+    /// Returns whether another try may be made beside `running` ones. A request under which a target
+    /// crashed gets one try at a time.
+    pub(super) fn may_try(&self, running: usize) -> bool {
+        let has_attempt = self.attempts < self.max_attempts;
+        let may_repeat = self.is_idempotent || self.attempts == 0;
+        has_attempt && may_repeat && (self.suspect.is_none() || running == 0)
+    }
+
+    /// Returns whether another try is made if the `running` ones take long.
+    pub(super) fn can_hedge(&self, running: usize) -> bool {
+        let has_attempt = self.attempts < self.max_attempts;
+        self.is_idempotent && self.suspect.is_none() && has_attempt && running == 1
+    }
+
+    /// Records the start of a try.
+    pub(super) fn record_start(&mut self, target: &TargetEntry) {
+        self.tried.push(target.announcement.id.clone());
+        self.attempts += 1;
+    }
+
+    /// Records the end of a try. Returns the answer if it goes to the caller without a further try.
+    pub(super) fn record_end(&mut self, end: TryOutcome) -> Option<PlainAnswer> {
+        match end {
+            TryOutcome::Answered(answer) => {
+                let status = answer.status;
+                self.server_errors += u32::from(status == StatusCode::INTERNAL_SERVER_ERROR);
+                if self.is_idempotent && status.is_server_error() {
+                    self.failed = Some(Some(answer));
+                    return None;
+                }
+                self.may_have_run = true;
+                return Some(answer);
+            }
+            TryOutcome::Broken | TryOutcome::Failed | TryOutcome::Crashed => {
+                self.failed = self.failed.take().or(Some(None));
+            }
+            TryOutcome::NotRun | TryOutcome::Unsent => {
+                self.rejections += 1;
+                if self.rejections < MAX_REJECTIONS {
+                    self.attempts -= 1;
+                }
+            }
+        }
+        None
+    }
+
+    /// Returns the outcome of a request for which no further try is made; `is_late` is set if its
+    /// deadline is why.
+    pub(super) fn give_up(&mut self, is_late: bool) -> PlainOutcome {
+        self.may_have_run |= self.failed.is_some();
+        match (self.failed.take(), self.free_in_ms) {
+            (Some(Some(answer)), _) => PlainOutcome::Answered(answer),
+            (Some(None), _) if is_late => PlainOutcome::Late,
+            (Some(None), _) => PlainOutcome::Failed,
+            (None, Some(wait_ms)) => PlainOutcome::Limited(return_ms(wait_ms)),
+            (None, None) => PlainOutcome::NotRun,
+        }
+    }
+}
