--- a/crates/service/tests/limits.rs
+++ b/crates/service/tests/limits.rs
@@ -139,7 +139,7 @@
     assert!(lookups >= 54, "{lookups} look-ups, {calls} calls");
 }
 
-/// Guards against a step that floods its engines: 172 items at once, at eleven engines that each
+/// Guards against a step that floods its engines: 400 items at once, at eleven engines that each
 /// take two requests a second, start as the permits allow, and all of them do.
 #[test]
 fn a_step_starts_no_more_items_than_the_engines_permit() {
@@ -154,12 +154,12 @@
         single_version: false,
         max_attempts: 3,
     };
-    let open = (0..172).map(|item| ItemRank {
+    let open = (0..400).map(|item| ItemRank {
         item,
         is_carried: false,
         expected_tokens: 100,
     });
-    let groups = (0..172).map(|item| item / 4).collect();
+    let groups = (0..400).map(|item| item / 4).collect();
     scheduler.admit("job", constraints, groups, open.collect());
     let mut ledger = RateLedger::default();
     let rate = RequestRate(2_000);
@@ -167,7 +167,7 @@
         ledger.bucket(START, id, rate);
     }
     let mut starts: Vec<(u64, String)> = Vec::new();
-    for time in (0..12_000_u64).step_by(20) {
+    for time in (0..24_000_u64).step_by(20) {
         let now = START + time;
         let slot = |id: &String| EngineSlot {
             id: id.clone(),
@@ -189,7 +189,7 @@
             scheduler.finish_run(now, start.run, RunEnd::Completed(text));
         }
     }
-    assert_eq!(starts.len(), 172);
+    assert_eq!(starts.len(), 400);
     for id in &ids {
         let times: Vec<u64> = starts
             .iter()
