Take no answer without the request's ID for an answer

Cause: an answer that names another request was refused, one that names none was not, unless it was a success.

The same for runs of items.

--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -161,11 +161,8 @@
         };
         let (head, body) = response.into_parts();
         let metadata = self.dialect.read_metadata(&head.headers);
-        if metadata
-            .request_id
-            .as_ref()
-            .is_some_and(|it| *it != request.id)
-        {
+        // An answer without the request's ID may be a late copy of an earlier one.
+        if metadata.request_id.as_ref() != Some(&request.id) {
             return TryOutcome::Failed;
         }
         self.record_limit(&target.announcement.id, metadata.rate_limit, sent_at);
@@ -177,7 +174,7 @@
         if metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
             return TryOutcome::NotRun;
         }
-        if head.status.is_success() && (metadata.stamp.is_none() || metadata.request_id.is_none()) {
+        if head.status.is_success() && metadata.stamp.is_none() {
             return TryOutcome::Failed;
         }
         TryOutcome::Answered(PlainAnswer {
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -197,11 +197,8 @@
         Ok(Err(SendError::Gone | SendError::Broken(_))) | Err(_) => return StreamEnd::Broken,
     };
     let metadata = dialect.read_metadata(response.headers());
-    let is_foreign = metadata
-        .request_id
-        .as_ref()
-        .is_some_and(|it| *it != request.item);
-    if is_foreign {
+    // An answer without the item's ID may be a late copy of an earlier one.
+    if metadata.request_id.as_ref() != Some(&request.item) {
         return StreamEnd::Broken;
     }
     on_limit(metadata.rate_limit);
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -182,6 +182,23 @@
     }
 }
 
+/// Guards against a late copy of a refusal that is taken for the answer to the next request, so that
+/// the caller is told that it did not run.
+#[tokio::test]
+async fn a_late_refusal_of_an_earlier_request_is_not_taken_for_an_answer() {
+    let forwarder = forwarder(5_000);
+    let stub = StubTarget::start(StubBehaviour::RefusesLate).await;
+    forwarder
+        .chooser()
+        .update(now(), &[view("t", stub.address)]);
+    let mut unrepeatable = request(RouteKind::Unsafe, 3_000);
+    forwarder.forward(&unrepeatable).await;
+    unrepeatable.id = "r2".to_owned();
+    let outcome = forwarder.forward(&unrepeatable).await.outcome;
+    assert_eq!(stub.count(), 2);
+    assert!(matches!(outcome, PlainOutcome::Failed), "{outcome:?}");
+}
+
 /// Guards against a request that goes on to further targets after it crashed some, under a new ID and
 /// at a new attempt, while others are still served.
 #[tokio::test]
--- a/crates/service/tests/targets/support.rs
+++ b/crates/service/tests/targets/support.rs
@@ -118,6 +118,9 @@
     SendsGarbage,
     /// Sends a second, unrequested answer after the correct one.
     AnswersTwice,
+    /// Sends, from the second request of a connection on, a refusal without an ID before the correct
+    /// answer, as a late copy of an earlier answer arrives.
+    RefusesLate,
     /// Sends an answer without the stamp that confirms it.
     Unstamped,
     /// Accepts no connections.
@@ -261,6 +264,11 @@
                 answer("200 OK", "another", true, "", "not yours")
             }
             StubBehaviour::SendsGarbage => "not an HTTP response\r\n\r\n".to_owned(),
+            StubBehaviour::RefusesLate if earlier == 0 => complete,
+            StubBehaviour::RefusesLate => {
+                let refusal = "HTTP/1.1 503 Full\r\nx-not-run: 1\r\ncontent-length: 0\r\n\r\n";
+                format!("{refusal}{complete}")
+            }
             StubBehaviour::AnswersTwice => {
                 format!("{complete}{}", answer("200 OK", "late", true, "", "late"))
             }
