--- a/crates/service/src/events.rs
+++ b/crates/service/src/events.rs
@@ -23,6 +23,8 @@
 #[derive(Debug, Default)]
 pub struct EventReader {
     buffer: BytesMut,
+    /// Number of bytes at the start of the buffer in which no event ends.
+    searched: usize,
 }
 
 impl EventReader {
@@ -40,8 +42,14 @@
 
     /// Removes the next complete event from the buffer and returns it.
     pub fn next_event(&mut self) -> Option<StreamEvent> {
-        let end = self.buffer.windows(2).position(|it| it == b"\n\n")?;
-        let raw = self.buffer.split_to(end + 2).freeze();
+        let rest = &self.buffer[self.searched..];
+        let Some(end) = rest.windows(2).position(|it| it == b"\n\n") else {
+            // The last byte may be the first half of an end.
+            self.searched = self.buffer.len().saturating_sub(1);
+            return None;
+        };
+        let raw = self.buffer.split_to(self.searched + end + 2).freeze();
+        self.searched = 0;
         Some(parse(raw))
     }
 }
