--- a/crates/service/src/choice.rs
+++ b/crates/service/src/choice.rs
@@ -43,6 +43,13 @@
 /// Cost factor for a target that names a limit, so that others take its requests first.
 const LIMITED_FACTOR: f64 = 4.0;
 
+/// Time without a request after which a target that names a limit is tried before others, since
+/// only an answer tells that the limit has ended, in milliseconds.
+const LIMIT_PROBE_MS: u64 = 5_000;
+
+/// Cost factor for a target whose limit is due to be checked.
+const LIMIT_PROBE_FACTOR: f64 = 0.05;
+
 /// Cost factor for a target that is silent or cold; an ejected target gets its square.
 const PENALTY_FACTOR: f64 = 50.0;
 
@@ -219,7 +226,11 @@
             cost *= CROSS_ZONE_FACTOR;
         }
         if is_limited {
-            cost *= LIMITED_FACTOR;
+            let tried_at = load.used_at.max(entry.limit_named_at);
+            cost *= match now.since(tried_at) >= LIMIT_PROBE_MS {
+                true => LIMIT_PROBE_FACTOR,
+                false => LIMITED_FACTOR,
+            };
         }
         if entry.stage == TargetStage::Silent {
             cost *= PENALTY_FACTOR;
--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -87,7 +87,7 @@
     /// Rate of requests that the target takes from all processes together, if it names one.
     pub rate_limit: Option<RequestRate>,
     /// Time at which the target was last known to name a limit.
-    limit_named_at: ClockTime,
+    pub(crate) limit_named_at: ClockTime,
     announced_at: ClockTime,
 }
 
--- a/crates/service/tests/limits.rs
+++ b/crates/service/tests/limits.rs
@@ -108,6 +108,25 @@
     assert!(choose(&mut chooser, START + 500, true).is_some());
 }
 
+/// Guards against a target that stays limited for good, since the others take all requests and nobody
+/// hears that its limit has ended: six look-ups a second at three targets, one of them limited.
+#[test]
+fn a_limited_target_is_tried_again_although_others_have_room() {
+    let mut chooser = TargetChooser::new("entry", "a");
+    let views = [view("x", Some(RATE)), view("y", None), view("z", None)];
+    chooser.update(START, &views);
+    let mut tried_at = Vec::new();
+    for time in (0..60_000).step_by(166) {
+        let now = START + time;
+        let id = choose(&mut chooser, now, true).unwrap();
+        chooser.finish_request(now + 30, &id, Some(30));
+        if id == "x" {
+            tried_at.push(time);
+        }
+    }
+    assert!((8..=20).contains(&tried_at.len()), "{tried_at:?}");
+}
+
 /// Guards against reward calls that take all permits, since they can wait for longer than callers.
 ///
 /// The pattern: six look-ups a second that wait 75 ms at most, and reward calls that ask every 20 ms,
