Free a target's place when a caller leaves while its request waits for a permit

What would be seen: a target that names limits counts as busier with each caller that leaves in that moment, until it gets no requests any more.

Cause: a target counted as busy when it was chosen, but only the try that followed freed it; the wait for a permit, new with the limits, lies between.

Evidence: a_caller_that_leaves_while_it_waits_for_a_permit_frees_its_place, failed before.

--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -17,6 +17,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::time::sleep;
 
+use self::attempt::ChosenTarget;
 use self::attempt::TryOutcome;
 use self::progress::ForwardProgress;
 use crate::choice::ChoiceQuery;
@@ -30,7 +31,6 @@
 use crate::plain::PlainOutcome;
 use crate::plain::PlainRequest;
 use crate::pool::TargetPool;
-use crate::registry::TargetEntry;
 use crate::suspects::SuspectWatch;
 use crate::usage::UsageSums;
 use bergamotlane_policy::rate::PermitClaim;
@@ -52,8 +52,8 @@
 const PERMIT_WAIT_DIVISOR: u64 = 2;
 
 /// Target for the next try of a request.
-enum NextTarget {
-    Chosen(Box<TargetEntry>),
+enum NextTarget<'a> {
+    Chosen(Box<ChosenTarget<'a>>),
     /// All targets that could take the request are at their limits for this time, in milliseconds.
     Limited(u64),
     None,
@@ -167,7 +167,7 @@
                     .await
                 {
                     NextTarget::Chosen(target) => {
-                        progress.record_start(&target);
+                        progress.record_start(&target.entry);
                         let left_ms = request.limit.since(now());
                         running.push(self.try_target(request, *target, left_ms));
                     }
@@ -219,7 +219,7 @@
         request: &PlainRequest,
         tried: &[String],
         with_limited: bool,
-    ) -> NextTarget {
+    ) -> NextTarget<'_> {
         let claim = permit_claim(request);
         let mut free_in_ms: Option<u64> = None;
         loop {
@@ -230,18 +230,17 @@
                 reserved_slots: request.reserved_slots,
                 with_limited,
             };
-            let chosen = self.chooser().choose(now(), query);
-            let Some(target) = chosen else {
+            let Some(target) = ChosenTarget::choose(&self.chooser, query) else {
                 let denied_ms = || self.chooser().denied_ms(now(), &request.service);
                 return match free_in_ms.or_else(denied_ms) {
                     Some(wait_ms) => NextTarget::Limited(wait_ms),
                     None => NextTarget::None,
                 };
             };
-            let Some(rate) = target.rate_limit else {
+            let Some(rate) = target.entry.rate_limit else {
                 return NextTarget::Chosen(Box::new(target));
             };
-            let id = target.announcement.id.as_str();
+            let id = target.entry.announcement.id.as_str();
             let permit = self.permits.acquire(PermitQuery {
                 target: id,
                 rate,
@@ -265,7 +264,7 @@
                         PermitClaim::Background => 0,
                     };
                     let until = now() + wait_ms.saturating_sub(earlier_ms);
-                    self.chooser().deny_request(id, until);
+                    target.deny(until);
                     free_in_ms = Some(free_in_ms.map_or(wait_ms, |it| it.min(wait_ms)));
                 }
             }
--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -13,6 +13,7 @@
 
 use super::Forwarder;
 use super::lock;
+use crate::choice::ChoiceQuery;
 use crate::choice::TargetChooser;
 use crate::dialect::RequestMetadata;
 use crate::dialect::TargetDialect;
@@ -56,28 +57,50 @@
     }
 }
 
-/// Counts a request as outstanding at its target until it is dropped.
-struct OutstandingGuard<'a> {
+/// Target that was chosen for a request, which counts as outstanding there until this is dropped.
+pub(super) struct ChosenTarget<'a> {
     chooser: &'a Mutex<TargetChooser>,
-    target: String,
-    started: ClockTime,
+    pub(super) entry: TargetEntry,
     recorded: bool,
 }
 
-impl OutstandingGuard<'_> {
-    /// Records the outcome of the try with the chooser.
-    fn record(&mut self, ok: bool) {
+impl<'a> ChosenTarget<'a> {
+    /// Chooses a target, if one is eligible.
+    pub(super) fn choose(
+        chooser: &'a Mutex<TargetChooser>,
+        query: ChoiceQuery<'_>,
+    ) -> Option<Self> {
+        let entry = lock(chooser).choose(now(), query)?;
+        Some(Self {
+            chooser,
+            entry,
+            recorded: false,
+        })
+    }
+
+    fn id(&self) -> &str {
+        &self.entry.announcement.id
+    }
+
+    /// Gives the target up, for which no permit can be had before `until`.
+    pub(super) fn deny(mut self, until: ClockTime) {
+        lock(self.chooser).deny_request(&self.entry.announcement.id, until);
+        self.recorded = true;
+    }
+
+    /// Records the outcome of a try that began at `started`.
+    fn record(&mut self, started: ClockTime, ok: bool) {
         let time = now();
-        let latency = ok.then(|| time.since(self.started));
-        lock(self.chooser).finish_request(time, &self.target, latency);
+        let latency = ok.then(|| time.since(started));
+        lock(self.chooser).finish_request(time, &self.entry.announcement.id, latency);
         self.recorded = true;
     }
 }
 
-impl Drop for OutstandingGuard<'_> {
+impl Drop for ChosenTarget<'_> {
     fn drop(&mut self) {
         if !self.recorded {
-            lock(self.chooser).release_request(&self.target);
+            lock(self.chooser).release_request(&self.entry.announcement.id);
         }
     }
 }
@@ -87,29 +110,28 @@
     pub(super) async fn try_target(
         &self,
         request: &PlainRequest,
-        target: TargetEntry,
+        mut target: ChosenTarget<'_>,
         left_ms: u64,
     ) -> TryOutcome {
-        let mut guard = OutstandingGuard {
-            chooser: &self.chooser,
-            target: target.announcement.id.clone(),
-            started: now(),
-            recorded: false,
-        };
-        let sent = self.send(request, &target, left_ms);
+        let started = now();
+        let sent = self.send(request, &target.entry, left_ms);
         let limit = Duration::from_millis(left_ms);
         let mut end = match timeout(limit, sent).boxed().await {
             Ok(end) => end,
             Err(_) => TryOutcome::Failed,
         };
         if matches!(end, TryOutcome::Broken) {
-            end = self.classify_break(request, &target.announcement).await;
+            end = self
+                .classify_break(request, &target.entry.announcement)
+                .await;
         }
         match &end {
-            TryOutcome::Answered(answer) => guard.record(!answer.status.is_server_error()),
+            TryOutcome::Answered(answer) => {
+                target.record(started, !answer.status.is_server_error())
+            }
             TryOutcome::NotRun => {}
             TryOutcome::Unsent | TryOutcome::Broken | TryOutcome::Failed | TryOutcome::Crashed => {
-                guard.record(false)
+                target.record(started, false);
             }
         }
         METRICS
@@ -122,9 +144,9 @@
         };
         spdlog::log!(level, "request: target tried", kv: {
             request = request.id.as_str(),
-            target = target.announcement.id.as_str(),
+            target = target.id(),
             outcome = outcome_label(&end),
-            took_ms = now().since(guard.started),
+            took_ms = now().since(started),
         });
         end
     }
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -182,6 +182,30 @@
     }
 }
 
+/// Guards against a target that counts as busy for good, since a caller left while its request waited
+/// for a permit.
+#[tokio::test]
+async fn a_caller_that_leaves_while_it_waits_for_a_permit_frees_its_place() {
+    let (leader, _unanswered) = LeaderClient::new();
+    let forwarder = Forwarder::new(TestDialect, leader, "entry", "a", 5_000);
+    let mut limited = view("t", "127.0.0.1:9".parse().unwrap());
+    limited.rate_limit = Some(1_000);
+    forwarder.chooser().update(now(), &[limited]);
+    let waiting = request(RouteKind::Safe, 3_000);
+    let forwarding = forwarder.forward(&waiting);
+    tokio::time::timeout(Duration::from_millis(20), forwarding)
+        .await
+        .expect_err("the request waits for the leader");
+    let query = ChoiceQuery {
+        service: "desk",
+        tried: &[],
+        cold_pause_ms: None,
+        reserved_slots: Some(3),
+        with_limited: true,
+    };
+    assert!(forwarder.chooser().choose(now(), query).is_some());
+}
+
 /// Guards against a late copy of a refusal that is taken for the answer to the next request, so that
 /// the caller is told that it did not run.
 #[tokio::test]
