Take a target's heartbeat without a search of all targets

A keeper's processor is full; the leader takes 2,500 heartbeats a second there, and each searched all targets twice for its address.

Change: a target that has announced itself at its address before is the only one there, and its heartbeat needs no search.

--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -218,12 +218,9 @@
         if self.is_outdated(&announcement) {
             return AnnouncementEffect::Ignored;
         }
-        // If a newer target announces itself at an address, the older one there no longer runs.
-        let replaced = self.entries.extract_if(.., |id, entry| {
-            *id != announcement.id && entry.announcement.address == announcement.address
-        });
-        let replaced: Vec<String> = replaced.map(|(id, _)| id).collect();
-        self.changes.routing.extend(replaced);
+        if !self.owns_address(&announcement) {
+            self.remove_predecessors(&announcement);
+        }
         let stage = match announcement.is_draining {
             true => TargetStage::Draining,
             false => TargetStage::Ready,
@@ -259,6 +256,22 @@
         effect
     }
 
+    /// Returns whether the target of an announcement is known to be the only one at its address, since
+    /// it has announced itself there before.
+    fn owns_address(&self, announcement: &TargetAnnouncement) -> bool {
+        let old = self.entries.get(&announcement.id);
+        old.is_some_and(|it| !it.is_unconfirmed && it.announcement.address == announcement.address)
+    }
+
+    /// Removes other targets at the address of a newer one; they no longer run.
+    fn remove_predecessors(&mut self, announcement: &TargetAnnouncement) {
+        let replaced = self.entries.extract_if(.., |id, entry| {
+            *id != announcement.id && entry.announcement.address == announcement.address
+        });
+        let replaced: Vec<String> = replaced.map(|(id, _)| id).collect();
+        self.changes.routing.extend(replaced);
+    }
+
     /// Returns whether an announcement is outdated: its target departed, a newer announcement was
     /// applied, or a newer target has taken over the address.
     fn is_outdated(&self, announcement: &TargetAnnouncement) -> bool {
@@ -273,6 +286,10 @@
         {
             return true;
         }
+        // A heartbeat must not cost a search of all targets.
+        if self.owns_address(announcement) {
+            return false;
+        }
         self.entries.values().any(|it| {
             it.announcement.id != announcement.id
                 && it.announcement.address == announcement.address
--- a/crates/service/tests/registry.rs
+++ b/crates/service/tests/registry.rs
@@ -2,7 +2,11 @@
 //! and missing announcements.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+use std::time::Instant;
 
+use proptest::prelude::*;
 use rstest::rstest;
 
 use bergamotlane_coordination::clock::ClockTime;
@@ -13,6 +17,9 @@
 
 const START: ClockTime = ClockTime(100_000);
 
+/// Time limit for the heartbeats of all targets.
+const HEARTBEATS_LIMIT: Duration = Duration::from_secs(3);
+
 fn announcement(id: &str, born: u64, sequence: u64) -> TargetAnnouncement {
     TargetAnnouncement {
         id: id.to_owned(),
@@ -156,3 +163,41 @@
     assert!(registry.get("x").unwrap().is_cold(START + 2_999));
     assert!(!registry.get("x").unwrap().is_cold(START + 3_000));
 }
+
+/// Guards against a leader whose work for one heartbeat grows with the number of targets, so that all
+/// heartbeats together grow with its square: 3,000 targets, ten heartbeats each.
+#[test]
+fn heartbeats_of_thousands_of_targets_are_taken_in_time() {
+    let mut registry = TargetRegistry::default();
+    let started = Instant::now();
+    for sequence in 1..=10 {
+        for number in 0..3_000_u16 {
+            let mut heartbeat = announcement(&format!("t{number}"), 10, sequence);
+            heartbeat.address.set_port(1_000 + number);
+            registry.announce(START + sequence * 1_200, heartbeat);
+        }
+    }
+    let took = started.elapsed();
+    assert_eq!(registry.iter().count(), 3_000);
+    assert!(took < HEARTBEATS_LIMIT, "{took:?}");
+}
+
+proptest! {
+    /// Guards against two targets at one address, whichever announced itself in which order.
+    #[test]
+    fn no_two_targets_have_the_same_address(
+        announcements in prop::collection::vec((0_u8..6, 0_u16..4, 0_u64..4, 0_u64..30), 1..60),
+    ) {
+        let mut registry = TargetRegistry::default();
+        for (id, port, born, sequence) in announcements {
+            let mut announcement = announcement(&format!("t{id}"), born, sequence);
+            announcement.address.set_port(1_000 + port);
+            registry.announce(START, announcement);
+            let addresses: BTreeSet<_> = registry
+                .iter()
+                .map(|(_, it)| it.announcement.address)
+                .collect();
+            prop_assert_eq!(addresses.len(), registry.iter().count());
+        }
+    }
+}
