--- a/crates/daemon/src/serve/mod.rs
+++ b/crates/daemon/src/serve/mod.rs
@@ -1,6 +1,7 @@
 //! HTTP listeners: one for callers and trainers, one for targets and one for operators.
 
 mod answer;
+mod attempts;
 mod callers;
 mod claims;
 mod generate;
--- a/crates/daemon/tests/processes/faults.rs
+++ b/crates/daemon/tests/processes/faults.rs
@@ -360,8 +360,8 @@
         cluster.target("plain", "proof-desk", &[]).await;
     }
     for round in 0..9 {
-        let deadly = cluster.call(round % 3, Method::GET, "/s/proof-desk/item/deadly");
-        let outcome = outcome(deadly).await;
+        let poison = cluster.call(round % 3, Method::GET, "/s/proof-desk/item/poison");
+        let outcome = outcome(poison).await;
         assert!(outcome.starts_with("50"), "{outcome}");
         // The daemons hear of it with their next asks.
         tokio::time::sleep(Duration::from_secs(1)).await;
@@ -378,6 +378,36 @@
     }
 }
 
+/// Guards against daemons that each learn of such a request by the crash of further targets: once one
+/// daemon has it in quarantine, the others have to refuse it without sending it.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_quarantine_at_one_daemon_holds_at_all_daemons() {
+    let mut cluster = Cluster::start(3, 3, 3).await;
+    for _ in 0..6 {
+        cluster.target("plain", "proof-desk", &[]).await;
+    }
+    let refusal = async |cluster: &Cluster, index: usize| {
+        let poison = cluster.call(index, Method::GET, "/s/proof-desk/item/poison");
+        let response = poison.send().await.expect("daemon answers");
+        let body: Value = response.json().await.unwrap_or_default();
+        body["code"].as_str().unwrap_or_default().to_owned()
+    };
+    // The leader would know of it without being told if it had sent the request itself.
+    let leader = cluster.leader(0).await.expect("there is a leader");
+    let first = (leader + 1) % 3;
+    let quarantined = async |cluster: &Cluster| refusal(cluster, first).await == "quarantined";
+    cluster
+        .until("the first daemon has it in quarantine", quarantined)
+        .await;
+    let crashes = cluster.exited_standins();
+    // The other daemons hear of it with their next asks.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    for index in [leader, (leader + 2) % 3] {
+        assert_eq!(refusal(&cluster, index).await, "quarantined");
+    }
+    assert_eq!(cluster.exited_standins(), crashes);
+}
+
 /// Guards against a call that is said not to have run, since its last attempt could not connect,
 /// although an earlier one crashed its target.
 #[tokio::test(flavor = "multi_thread")]
@@ -391,8 +421,8 @@
         outcome(cluster.call(0, Method::GET, &path)).await;
     }
     assert_eq!(cluster.exited_standins(), 1);
-    let deadly = cluster.call(0, Method::GET, "/s/proof-desk/item/deadly");
-    let outcome = outcome(deadly).await;
+    let poison = cluster.call(0, Method::GET, "/s/proof-desk/item/poison");
+    let outcome = outcome(poison).await;
     assert_eq!(cluster.exited_standins(), 2);
     assert_eq!(outcome, "502 may-have-run");
 }
--- a/crates/policy/src/rate.rs
+++ b/crates/policy/src/rate.rs
@@ -1,8 +1,8 @@
-//! Limits that targets name for the rate of their requests, and the token buckets that keep them.
+//! Rate limits that overloaded targets advertise, and the token buckets that enforce them.
 //!
-//! A target in need names how many requests it takes from all callers together. One ledger, held by
-//! the leader, gives out the permits for each such target; a process that can't reach the leader
-//! falls back to a ledger of its own with its share of the rate.
+//! Such a limit is global: it covers all senders of requests. One ledger, held by the leader, gives
+//! out the permits for each limited target; a process that can't reach the leader falls back to a
+//! ledger of its own with its share of the rate.
 
 use std::collections::HashMap;
 
--- a/crates/policy/tests/rate.rs
+++ b/crates/policy/tests/rate.rs
@@ -44,17 +44,21 @@
 }
 
 proptest! {
-    /// Guards against bursts and waits that add up to more than a target takes: all permits of a
-    /// window stay under one and a half times its limit and five.
+    /// Guards against pauses, bursts and waits that add up to more than a target takes: all permits of
+    /// a window stay under one and a half times its limit and five.
     #[test]
     fn any_window_stays_within_the_limit(
         rate in 100_u64..50_000,
-        pauses in prop::collection::vec((0_u64..700, 0_u64..300), 1..400),
+        bursts in prop::collection::vec((0_u64..6_000, 1_usize..200, 0_u64..300), 1..40),
     ) {
         let mut ledger = RateLedger::default();
         let mut time = 0;
         let mut sent = Vec::new();
-        for (pause_ms, max_wait_ms) in pauses {
+        let asks = bursts.iter().flat_map(|(pause_ms, count, max_wait_ms)| {
+            let next = (0..*count).map(|index| if index == 0 { *pause_ms } else { 1 });
+            next.map(move |pause_ms| (pause_ms, *max_wait_ms))
+        });
+        for (pause_ms, max_wait_ms) in asks {
             time += pause_ms;
             let bucket = ledger.bucket(ClockTime(time), "t", RequestRate(rate));
             if let PermitReply::Granted(wait_ms) = bucket.reserve(ClockTime(time), PermitClaim::Caller(max_wait_ms)) {
--- a/crates/service/src/dialect.rs
+++ b/crates/service/src/dialect.rs
@@ -35,7 +35,7 @@
     pub not_run: bool,
     /// Weight version at the start of the answer.
     pub version: Option<u64>,
-    /// Rate of requests that the target takes from all processes together, if it names one.
+    /// Rate limit that the target advertises for all senders, if any.
     pub rate_limit: Option<RequestRate>,
 }
 
--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -84,7 +84,7 @@
     /// Whether the target is known only from a view of an earlier leader, and has not announced
     /// itself since.
     pub is_unconfirmed: bool,
-    /// Rate of requests that the target takes from all processes together, if it names one.
+    /// Rate limit that the target advertises for all senders, if any.
     pub rate_limit: Option<RequestRate>,
     /// Time at which the target was last known to name a limit.
     pub(crate) limit_named_at: ClockTime,
--- a/crates/service/tests/choice.rs
+++ b/crates/service/tests/choice.rs
@@ -1,40 +1,27 @@
 //! Tests the choice of a target for a lookup: zones, failures, slow and cold targets, and a
 //! comparison with common load-balancing policies under a seeded load.
 
-use std::collections::BTreeMap;
+mod common;
+
 use std::collections::BTreeSet;
 
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
+use crate::common::target_view;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_service::choice::ChoiceQuery;
 use bergamotlane_service::choice::TargetChooser;
-use bergamotlane_service::registry::TargetAnnouncement;
 use bergamotlane_service::registry::TargetStage;
 use bergamotlane_service::registry::TargetView;
 
 const START: ClockTime = ClockTime(100_000);
 
 fn view(id: &str, zone: &str) -> TargetView {
-    TargetView {
-        announcement: TargetAnnouncement {
-            id: id.to_owned(),
-            service: "desk".to_owned(),
-            address: "10.0.0.1:80".parse().unwrap(),
-            zone: zone.to_owned(),
-            capacity: 6,
-            is_draining: false,
-            cold_left_ms: 0,
-            models: BTreeMap::new(),
-            sequence: 1,
-            born: 1,
-            is_reclaimable: false,
-        },
-        stage: TargetStage::Ready,
-        rate_limit: None,
-    }
+    let mut view = target_view(id);
+    view.announcement.zone = zone.to_owned();
+    view
 }
 
 fn chooser(views: &[TargetView]) -> TargetChooser {
--- a/crates/service/tests/limits.rs
+++ b/crates/service/tests/limits.rs
@@ -1,7 +1,10 @@
 //! Tests that the limits which targets name are known, and kept, by all that send requests to them.
 
+mod common;
+
 use std::collections::BTreeMap;
 
+use crate::common::target_view;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_policy::rate::PermitClaim;
 use bergamotlane_policy::rate::PermitReply;
@@ -16,9 +19,7 @@
 use bergamotlane_service::order::ItemRank;
 use bergamotlane_service::permits::PermitClient;
 use bergamotlane_service::permits::PermitQuery;
-use bergamotlane_service::registry::TargetAnnouncement;
 use bergamotlane_service::registry::TargetRegistry;
-use bergamotlane_service::registry::TargetStage;
 use bergamotlane_service::registry::TargetView;
 use bergamotlane_service::schedule::ItemScheduler;
 use bergamotlane_service::work::EngineSlot;
@@ -32,23 +33,9 @@
 const RATE: RequestRate = RequestRate(1_000);
 
 fn view(id: &str, rate_limit: Option<RequestRate>) -> TargetView {
-    TargetView {
-        announcement: TargetAnnouncement {
-            id: id.to_owned(),
-            service: "desk".to_owned(),
-            address: "10.0.0.1:80".parse().unwrap(),
-            zone: "a".to_owned(),
-            capacity: 6,
-            is_draining: false,
-            cold_left_ms: 0,
-            models: BTreeMap::new(),
-            sequence: 1,
-            born: 1,
-            is_reclaimable: false,
-        },
-        stage: TargetStage::Ready,
-        rate_limit: rate_limit.map(|it| it.0),
-    }
+    let mut view = target_view(id);
+    view.rate_limit = rate_limit.map(|it| it.0);
+    view
 }
 
 fn choose(chooser: &mut TargetChooser, now: ClockTime, with_limited: bool) -> Option<String> {
@@ -90,7 +77,7 @@
     assert!(registry.take_changes().routing.contains("x"));
 }
 
-/// Guards against a target in need that gets as many requests as the others.
+/// Guards against an overloaded target that gets as many requests as the others.
 #[test]
 fn targets_without_a_limit_come_first_and_hedges_spare_the_limited_ones() {
     let mut chooser = TargetChooser::new("entry", "a");
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -234,8 +234,8 @@
     ];
     let views = [view("t0", stubs[0].address), view("t1", stubs[1].address)];
     forwarder.chooser().update(now(), &views);
-    let deadly = request(RouteKind::Safe, 3_000);
-    let first = forwarder.forward(&deadly).await.outcome;
+    let poison = request(RouteKind::Safe, 3_000);
+    let first = forwarder.forward(&poison).await.outcome;
     assert!(matches!(first, PlainOutcome::Failed), "{first:?}");
 
     let healthy = StubTarget::start(StubBehaviour::Healthy).await;
@@ -264,11 +264,11 @@
         .chooser()
         .update(now(), &[view("t", stub.address)]);
     forwarder.forward(&request(RouteKind::Safe, 3_000)).await;
-    let mut deadly = request(RouteKind::Safe, 3_000);
-    deadly.body = Bytes::from_static(b"deadly question");
-    let outcome = forwarder.forward(&deadly).await.outcome;
+    let mut poison = request(RouteKind::Safe, 3_000);
+    poison.body = Bytes::from_static(b"poison question");
+    let outcome = forwarder.forward(&poison).await.outcome;
     assert!(matches!(outcome, PlainOutcome::Failed), "{outcome:?}");
-    assert!(forwarder.suspects().find(&deadly).is_some());
+    assert!(forwarder.suspects().find(&poison).is_some());
 }
 
 #[tokio::test]
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -1,5 +1,7 @@
 //! Integration tests of forwarded requests and item runs against faulty stub targets.
 
+#[path = "../common/mod.rs"]
+mod common;
 mod forward;
 mod run;
 mod support;
--- a/crates/service/tests/targets/support.rs
+++ b/crates/service/tests/targets/support.rs
@@ -1,6 +1,5 @@
 //! A minimal target dialect for the tests, and stub targets with configurable faults.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU32;
@@ -16,14 +15,13 @@
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
+use crate::common::target_view;
 use bergamotlane_policy::rate::RequestRate;
 use bergamotlane_service::dialect::AnswerMetadata;
 use bergamotlane_service::dialect::OrderHolder;
 use bergamotlane_service::dialect::OutboundCall;
 use bergamotlane_service::dialect::RequestMetadata;
 use bergamotlane_service::dialect::TargetDialect;
-use bergamotlane_service::registry::TargetAnnouncement;
-use bergamotlane_service::registry::TargetStage;
 use bergamotlane_service::registry::TargetView;
 use bergamotlane_service::state::UsageCounts;
 use bergamotlane_service::weights::OrderReport;
@@ -384,21 +382,8 @@
 
 /// Returns the view of a ready target with four slots in zone "a" of the service "desk".
 pub fn view(id: &str, address: SocketAddr) -> TargetView {
-    TargetView {
-        announcement: TargetAnnouncement {
-            id: id.to_owned(),
-            service: "desk".to_owned(),
-            address,
-            zone: "a".to_owned(),
-            capacity: 4,
-            is_draining: false,
-            cold_left_ms: 0,
-            models: BTreeMap::new(),
-            sequence: 1,
-            born: 1,
-            is_reclaimable: false,
-        },
-        stage: TargetStage::Ready,
-        rate_limit: None,
-    }
+    let mut view = target_view(id);
+    view.announcement.address = address;
+    view.announcement.capacity = 4;
+    view
 }
--- a/crates/standins/src/plain.rs
+++ b/crates/standins/src/plain.rs
@@ -37,7 +37,7 @@
 const TRUNCATION_DELAY: Duration = Duration::from_millis(100);
 
 /// End of the paths whose calls always crash the service.
-const DEADLY_END: &str = "/deadly";
+const POISON_END: &str = "/poison";
 
 /// Settings and counters of a plain service.
 #[derive(Debug, Default)]
@@ -148,7 +148,7 @@
         FaultKind::Truncate,
         FaultKind::Wrong,
     ];
-    let fault = match path.ends_with(DEADLY_END) {
+    let fault = match path.ends_with(POISON_END) {
         true => Some(FaultKind::Crash),
         false => state.faults.take(&kinds),
     };
