Name a target's software version in the log, and what a run resumes at

It is kept in the announcement now and stands in 'target: changed' and in a new line, 'item: run resumes'. Nothing decides by it yet.

--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -155,13 +155,14 @@
         };
         let (id, born) = (announcement.id.clone(), announcement.born);
         let draining = announcement.is_draining;
+        let software = announcement.software.clone().unwrap_or_default();
         // An announcement that was under way when its target left must not bring it back.
         let is_late = !draining && self.state.is_leaving(&id, born, false);
         if has_service && !is_late {
             let effect = lead.registry.announce(now(), announcement);
             match effect {
                 AnnouncementEffect::Changed => {
-                    spdlog::info!("target: changed", kv: { target = id.as_str(), draining });
+                    spdlog::info!("target: changed", kv: { target = id.as_str(), software = software.as_str(), draining });
                 }
                 AnnouncementEffect::Versions
                 | AnnouncementEffect::Ignored
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -182,6 +182,15 @@
         let known_limit = entry.rate_limit;
         let submission = &record.submission;
         let item = &submission.items[start.item as usize];
+        if !start.partial.events.is_empty() {
+            spdlog::info!("item: run resumes", kv: {
+                job = start.job.as_str(),
+                item = item.id.as_str(),
+                target = start.engine.as_str(),
+                software = entry.announcement.software.as_deref().unwrap_or_default(),
+                events = start.partial.events.len(),
+            });
+        }
         let request = RunRequest {
             target: start.engine,
             address: entry.announcement.address,
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod run;
 pub mod schedule;
 pub mod scoring;
+pub mod software;
 pub mod state;
 pub mod suspects;
 pub mod text_journal;
--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::software::SoftwareBuild;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_policy::rate::RequestRate;
 
@@ -39,6 +40,9 @@
     pub cold_left_ms: u64,
     /// Weight version by model.
     pub models: BTreeMap<String, u64>,
+    /// Version of the target's software, if it names one.
+    #[serde(default)]
+    pub software: Option<String>,
     /// Sequence number of the announcement, counted from the start of the target's process.
     pub sequence: u64,
     /// Start time of the target's process, in milliseconds since 1970; it distinguishes two starts
@@ -48,6 +52,17 @@
     pub is_reclaimable: bool,
 }
 
+impl TargetAnnouncement {
+    /// Returns the build that the target runs, if it names the version of its software.
+    pub fn build(&self) -> Option<SoftwareBuild> {
+        let version = self.software.clone()?;
+        Some(SoftwareBuild {
+            service: self.service.clone(),
+            version,
+        })
+    }
+}
+
 /// Lifecycle stage of a target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum TargetStage {
@@ -382,6 +397,7 @@
         && old.announcement.zone == announcement.zone
         && old.announcement.capacity == announcement.capacity
         && old.announcement.born == announcement.born
+        && old.announcement.software == announcement.software
         && old.is_cold(now) == (announcement.cold_left_ms > 0);
     match same {
         false => AnnouncementEffect::Changed,
--- a/crates/service/tests/common/mod.rs
+++ b/crates/service/tests/common/mod.rs
@@ -18,6 +18,7 @@
             is_draining: false,
             cold_left_ms: 0,
             models: BTreeMap::new(),
+            software: Some("v1".to_owned()),
             sequence: 1,
             born: 1,
             is_reclaimable: false,
--- a/crates/service/tests/registry.rs
+++ b/crates/service/tests/registry.rs
@@ -30,6 +30,7 @@
         is_draining: false,
         cold_left_ms: 0,
         models: BTreeMap::from([("m".to_owned(), 1)]),
+        software: Some("v1".to_owned()),
         sequence,
         born,
         is_reclaimable: false,
