Continue an item's text only at the software version that began it

Callers got texts whose first events one software version of an engine made and whose rest another: a broken run resumed at any engine with fitting weights, and no record of a text said what made it. Placement adds the time to make lost events again to an engine's cost, so that an engine of the same build with room comes first. If an engine restarts under its ID while a run is under way, nothing is joined to what that run added.

Before: an_items_text_is_made_by_one_software_version failed with events 0 to 4 of v1 and 5 to 11 of v2. After: it passes, with the tables and the property test of schedule/software.rs, which has no network.

--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -76,6 +76,10 @@
     pub(super) stop: Option<oneshot::Sender<()>>,
     pub(super) progress: Arc<RunProgress>,
     pub(super) started: ClockTime,
+    /// Start time of the target's process when the run began, in milliseconds since 1970.
+    pub(super) born: u64,
+    /// Whether the run resumed from events of an earlier run.
+    pub(super) has_resumed: bool,
 }
 
 /// State that a keeper holds only while it is elected.
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -26,6 +26,7 @@
 use crate::state::StateCommand;
 use crate::texts::TextKey;
 use crate::work::EngineSlot;
+use crate::work::PartialText;
 use crate::work::RunEnd;
 use crate::work::RunKey;
 use crate::work::RunStart;
@@ -111,6 +112,7 @@
                     service: announcement.service.clone(),
                     capacity: announcement.capacity.saturating_sub(reserved).max(1),
                     models: usable_models(lead, time, id, announcement),
+                    build: announcement.build(),
                     starts_per_s: (entry.is_cold(time) || entry.is_unconfirmed)
                         .then_some(cold_per_s.max(1)),
                     permits: entry
@@ -182,13 +184,18 @@
         let known_limit = entry.rate_limit;
         let submission = &record.submission;
         let item = &submission.items[start.item as usize];
-        if !start.partial.events.is_empty() {
-            spdlog::info!("item: run resumes", kv: {
+        let resumed_events = start.partial.events.len();
+        if resumed_events > 0 || start.discarded_events > 0 {
+            METRICS
+                .events_discarded
+                .inc_by(start.discarded_events.into());
+            spdlog::info!("item: run again", kv: {
                 job = start.job.as_str(),
                 item = item.id.as_str(),
                 target = start.engine.as_str(),
                 software = entry.announcement.software.as_deref().unwrap_or_default(),
-                events = start.partial.events.len(),
+                resumed_events,
+                discarded_events = start.discarded_events,
             });
         }
         let request = RunRequest {
@@ -219,6 +226,8 @@
             stop: Some(stop),
             progress: Arc::clone(&progress),
             started: time,
+            born: entry.announcement.born,
+            has_resumed: resumed_events > 0,
         };
         let run = start.run;
         lead.runs.insert(run, handle);
@@ -251,6 +260,15 @@
         let Some(handle) = lead.runs.remove(&run) else {
             return;
         };
+        let known = lead.registry.get(&handle.target);
+        let has_restarted = known.is_some_and(|it| it.announcement.born != handle.born);
+        let end = match has_restarted {
+            true => {
+                self.texts.remove(&handle.key);
+                end_of_restarted(end, handle.has_resumed)
+            }
+            false => end,
+        };
         METRICS.runs.with_label_values(&[outcome_label(&end)]).inc();
         if !matches!(end, RunEnd::Completed(_)) {
             spdlog::info!("item: run ended", kv: {
@@ -325,6 +343,16 @@
         .collect()
 }
 
+/// Returns the end of a run whose engine has restarted since the run began. The restarted engine may
+/// run other software, and may have got the request, so that nothing may be joined to its events.
+fn end_of_restarted(end: RunEnd, has_resumed: bool) -> RunEnd {
+    match end {
+        RunEnd::Completed(_) if has_resumed => RunEnd::Broken(PartialText::default()),
+        RunEnd::Broken(_) => RunEnd::Broken(PartialText::default()),
+        other => other,
+    }
+}
+
 /// Returns the value for a run's outcome in metric labels and log lines.
 fn outcome_label(end: &RunEnd) -> &'static str {
     match end {
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -52,6 +52,8 @@
     pub reward_calls_active: IntGauge,
     /// Number of items whose results were listed.
     pub items_listed: IntCounter,
+    /// Number of generated events that no later run could resume from.
+    pub events_discarded: IntCounter,
     /// Number of orders to load weights, by the engine's answer.
     pub weight_orders: IntCounterVec,
     /// Number of usage windows that the platform accepted.
@@ -126,6 +128,7 @@
             scores_waiting: gauge("scores_waiting", "Texts that wait for a reward call."),
             reward_calls_active: gauge("reward_calls_active", "Reward calls in progress."),
             items_listed: counter("items_listed_total", "Items listed."),
+            events_discarded: counter("item_events_discarded_total", "Events made again."),
             weight_orders: counters("weight_orders_total", "Orders for weights.", "answer"),
             windows_reported: counter("usage_windows_total", "Usage windows taken."),
             role_changes: counter("role_changes_total", "Changes of this keeper's role."),
--- a/crates/service/src/placement.rs
+++ b/crates/service/src/placement.rs
@@ -11,6 +11,7 @@
 use crate::order::expected_ms;
 use crate::work::EngineSlot;
 use crate::work::JobConstraints;
+use crate::work::PartialText;
 use bergamotlane_coordination::clock::ClockTime;
 
 /// Number of tokens assumed for an item without an estimate.
@@ -26,10 +27,15 @@
 /// Cost of processing the shared prompt of an item's group at another engine, in milliseconds.
 const PROMPT_COST_MS: f64 = 500.0;
 
+/// Time to generate an event again on an engine without an observed pace, in milliseconds.
+const DEFAULT_PACE_MS: f64 = 30.0;
+
 /// Properties of an item that decide its engine.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct PlacementQuery<'a> {
     pub(crate) constraints: &'a JobConstraints,
+    /// Text that earlier runs of the item generated.
+    pub(crate) partial: Option<&'a PartialText>,
     /// Number of tokens that the item is expected to need; zero if unknown.
     pub(crate) expected_tokens: u64,
     /// ID of the engine that last got an item of the same group.
@@ -103,5 +109,20 @@
         true => 0.0,
         false => PROMPT_COST_MS,
     };
-    run_ms + LOAD_COST_MS * share + prompt_ms
+    run_ms + LOAD_COST_MS * share + prompt_ms + repeated_ms(load, engine, query)
+}
+
+/// Returns the time for the events that an engine would have to generate again because it can't
+/// resume from them, in milliseconds.
+fn repeated_ms(load: &EngineLoad, engine: &EngineSlot, query: PlacementQuery<'_>) -> f64 {
+    let Some(partial) = query.partial else {
+        return 0.0;
+    };
+    let version = engine.models.get(&query.constraints.model);
+    let version = version.copied().unwrap_or_default();
+    if partial.can_resume(query.constraints, version, engine.build.as_ref()) {
+        return 0.0;
+    }
+    let pace_ms = load.pace_ms.or(query.typical_pace_ms);
+    partial.events.len() as f64 * pace_ms.unwrap_or(DEFAULT_PACE_MS)
 }
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -256,6 +256,7 @@
         let group = queue.groups[item as usize];
         let query = PlacementQuery {
             constraints: &queue.constraints,
+            partial: queue.partials.get(&item),
             expected_tokens: queue.expected_tokens[item as usize],
             preferred: queue.group_engine.get(&group).map(String::as_str),
             typical_pace_ms,
@@ -265,10 +266,19 @@
         let version = engine.models.get(&queue.constraints.model);
         let version = version.copied().unwrap_or_default();
         let partial = queue.partials.remove(&item).unwrap_or_default();
-        let partial = match partial.can_resume(&queue.constraints, version) {
+        let can_resume = partial.can_resume(&queue.constraints, version, engine.build.as_ref());
+        let discarded_events = match can_resume {
+            true => 0,
+            false => partial.events.len() as u32,
+        };
+        let partial = match can_resume {
             true => partial,
             false => PartialText::default(),
         };
+        let partial = PartialText {
+            build: engine.build.clone(),
+            ..partial
+        };
         queue.group_engine.insert(group, engine.id.clone());
         self.next_run += 1;
         let run = RunKey(self.next_run);
@@ -291,6 +301,7 @@
             engine: engine.id.clone(),
             version,
             partial,
+            discarded_events,
         })
     }
 
--- a/crates/service/src/texts.rs
+++ b/crates/service/src/texts.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::software::SoftwareBuild;
 use crate::work::PartialText;
 use bergamotlane_coordination::clock::ClockTime;
 
@@ -41,6 +42,9 @@
     pub last_id: Option<u64>,
     /// Weight versions that generated the text so far, ascending.
     pub versions: Vec<u64>,
+    /// Software that generated the text, if known.
+    #[serde(default)]
+    pub build: Option<SoftwareBuild>,
     /// Whether the text is complete with this delta.
     #[serde(default)]
     pub is_complete: bool,
@@ -58,6 +62,7 @@
             events: events.to_vec(),
             last_id: text.last_id,
             versions: text.versions.clone(),
+            build: text.build.clone(),
             is_complete: text.is_complete,
         })
     }
@@ -98,6 +103,7 @@
                 events: delta.events,
                 last_id: delta.last_id,
                 versions: delta.versions,
+                build: delta.build,
                 is_complete: delta.is_complete,
             };
             self.insert(now, delta.key, delta.run, text);
--- a/crates/service/src/work.rs
+++ b/crates/service/src/work.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::software::SoftwareBuild;
 use bergamotlane_coordination::clock::ClockTime;
 
 /// ID of a run, unique within a scheduler.
@@ -41,6 +42,8 @@
     pub capacity: u32,
     /// Weight version on the engine, by model.
     pub models: BTreeMap<String, u64>,
+    /// Software that the engine runs, if known.
+    pub build: Option<SoftwareBuild>,
     /// Number of runs that may start within one second, or `None` if the engine is warm.
     pub starts_per_s: Option<u32>,
     /// Number of runs that may start now, or `None` if the engine names no limit.
@@ -56,6 +59,8 @@
     pub last_id: Option<u64>,
     /// Weight versions that generated the events, ascending and without duplicates.
     pub versions: Vec<u64>,
+    /// Software that generated the events, if known.
+    pub build: Option<SoftwareBuild>,
     /// Whether the text is the item's entire output.
     pub is_complete: bool,
 }
@@ -87,8 +92,18 @@
         is_recent && is_consistent
     }
 
-    /// Returns whether a run at an engine with the weights of `version` may resume from this text.
-    pub fn can_resume(&self, constraints: &JobConstraints, version: u64) -> bool {
+    /// Returns whether a run at an engine with the weights of `version` and the software `build` may
+    /// resume from this text. Events of unknown software continue nowhere.
+    pub fn can_resume(
+        &self,
+        constraints: &JobConstraints,
+        version: u64,
+        build: Option<&SoftwareBuild>,
+    ) -> bool {
+        let same_build = self.build.is_some() && self.build.as_ref() == build;
+        if !self.events.is_empty() && !same_build {
+            return false;
+        }
         let is_recent = self
             .versions
             .iter()
@@ -133,4 +148,6 @@
     pub version: u64,
     /// Text to resume from; empty to start over.
     pub partial: PartialText,
+    /// Number of events that earlier runs generated and that this run can't resume from.
+    pub discarded_events: u32,
 }
--- a/crates/service/tests/limits.rs
+++ b/crates/service/tests/limits.rs
@@ -180,6 +180,7 @@
             service: "llm".to_owned(),
             capacity: 12,
             models: BTreeMap::from([("m".to_owned(), 1)]),
+            build: None,
             starts_per_s: None,
             permits: Some(ledger.free(now, id, false)),
         };
--- a/crates/service/tests/schedule/main.rs
+++ b/crates/service/tests/schedule/main.rs
@@ -1,6 +1,7 @@
 //! Tests the item scheduler on a manual clock: groups, weight versions, failures, slow and cold
 //! engines, expiry, and the order of items among jobs.
 
+mod software;
 mod steps;
 
 use std::collections::BTreeMap;
@@ -13,6 +14,7 @@
 use bergamotlane_service::jobs::ItemEnd;
 use bergamotlane_service::order::ItemRank;
 use bergamotlane_service::schedule::ItemScheduler;
+use bergamotlane_service::software::SoftwareBuild;
 use bergamotlane_service::work::EngineSlot;
 use bergamotlane_service::work::JobConstraints;
 use bergamotlane_service::work::PartialText;
@@ -20,12 +22,21 @@
 
 const START: ClockTime = ClockTime(50_000);
 
+/// Returns the build of the service `llm` with a software version.
+fn build(version: &str) -> Option<SoftwareBuild> {
+    Some(SoftwareBuild {
+        service: "llm".to_owned(),
+        version: version.to_owned(),
+    })
+}
+
 fn engine(id: &str, capacity: u32, version: u64) -> EngineSlot {
     EngineSlot {
         id: id.to_owned(),
         service: "llm".to_owned(),
         capacity,
         models: BTreeMap::from([("m".to_owned(), version)]),
+        build: build("v1"),
         starts_per_s: None,
         permits: None,
     }
@@ -70,6 +81,7 @@
         events: vec![Bytes::from_static(b"a"), Bytes::from_static(b"b")],
         last_id: Some(1),
         versions: versions.to_vec(),
+        build: build("v1"),
         is_complete: true,
     })
 }
@@ -149,6 +161,7 @@
         events: vec![Bytes::from_static(b"a")],
         last_id: Some(0),
         versions: vec![1],
+        build: build("v1"),
         is_complete: false,
     };
     scheduler.finish_run(START + 30, first.run, RunEnd::Unreachable);
--- a/crates/service/tests/scoring.rs
+++ b/crates/service/tests/scoring.rs
@@ -33,6 +33,7 @@
             events: vec![Bytes::from_static(b"a"), Bytes::from_static(b"b")],
             last_id: Some(1),
             versions: vec![4],
+            build: None,
             is_complete: true,
         },
         text_key: TextKey {
--- a/crates/service/tests/text_journal.rs
+++ b/crates/service/tests/text_journal.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 
 use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_service::software::SoftwareBuild;
 use bergamotlane_service::text_journal::TextJournal;
 use bergamotlane_service::texts::TextDelta;
 use bergamotlane_service::texts::TextKey;
@@ -33,6 +34,10 @@
             .collect(),
         last_id: events.checked_sub(1),
         versions: vec![4],
+        build: Some(SoftwareBuild {
+            service: "llm".to_owned(),
+            version: "v1".to_owned(),
+        }),
         is_complete: false,
     }
 }
--- a/crates/service/tests/texts.rs
+++ b/crates/service/tests/texts.rs
@@ -5,10 +5,12 @@
 use rstest::rstest;
 
 use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_service::software::SoftwareBuild;
 use bergamotlane_service::texts::TextDelta;
 use bergamotlane_service::texts::TextKey;
 use bergamotlane_service::texts::TextStore;
 use bergamotlane_service::work::PartialText;
+use bergamotlane_wire::codec;
 
 const START: ClockTime = ClockTime(10_000);
 
@@ -26,6 +28,10 @@
             .collect(),
         last_id: events.checked_sub(1),
         versions: versions.to_vec(),
+        build: Some(SoftwareBuild {
+            service: "llm".to_owned(),
+            version: "v1".to_owned(),
+        }),
         is_complete: false,
     }
 }
@@ -66,6 +72,33 @@
     assert_eq!(store.get(&key("i"), 4), Some(&text(3, &[4])));
 }
 
+/// Guards against a record from before software versions were kept that passes for one of a known
+/// version.
+#[test]
+fn a_delta_without_software_is_of_unknown_software() {
+    #[derive(serde::Serialize)]
+    struct OldDelta {
+        key: TextKey,
+        run: u64,
+        told: u32,
+        events: Vec<Bytes>,
+        last_id: Option<u64>,
+        versions: Vec<u64>,
+    }
+    let old = OldDelta {
+        key: key("i"),
+        run: 1,
+        told: 0,
+        events: vec![Bytes::from_static(b"a")],
+        last_id: Some(0),
+        versions: vec![4],
+    };
+    let delta: TextDelta = codec::decode(&codec::encode(&old)).unwrap();
+    let mut store = TextStore::default();
+    store.apply_delta(START, delta);
+    assert_eq!(store.get(&key("i"), 4).unwrap().build, None);
+}
+
 #[test]
 fn a_delta_from_the_start_of_another_run_replaces_the_text() {
     let mut store = TextStore::default();
