Take a stream up only at the software version that began it

A caller whose stream broke off takes it up at any entry, perhaps after all entries and keepers have restarted, and was answered 200 by whatever target had least load: the first part from one version, the rest from another. Nobody knew which version had begun it.

Before the first event of a resumable stream leaves an entry, the leader commits which build (service and software version) began it, under the digest of customer and request ID.

Weighed: a version inferred from the only one known (wrong once another has left and the plan has moved); a copy at other entries (they die together); a token in the answer (the caller sends none back).

--- a/crates/service/src/choice.rs
+++ b/crates/service/src/choice.rs
@@ -12,6 +12,7 @@
 use crate::registry::TargetRegistry;
 use crate::registry::TargetStage;
 use crate::registry::TargetView;
+use crate::software::SoftwareBuild;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_policy::rate::RequestRate;
 
@@ -105,6 +106,8 @@
     pub reserved_slots: Option<u32>,
     /// Whether targets that name a limit are eligible.
     pub with_limited: bool,
+    /// Build that a target must run, or `None` if any may take the request.
+    pub build: Option<&'a SoftwareBuild>,
 }
 
 /// Returns the number of slots of a target that requests may use which leave `reserved` free.
@@ -158,6 +161,12 @@
         self.evacuated = zones;
     }
 
+    /// Returns whether a target is still the one that started at `born`.
+    pub fn has_start(&self, id: &str, born: u64) -> bool {
+        let entry = self.registry.get(id);
+        entry.is_none_or(|it| it.announcement.born == born)
+    }
+
     fn candidates(&self, service: &str) -> impl Iterator<Item = &TargetEntry> {
         let entries = self.registry.iter().map(|(_, entry)| entry);
         entries.filter(move |it| {
@@ -173,6 +182,7 @@
         let best = self
             .candidates(query.service)
             .filter(|it| !query.tried.contains(&it.announcement.id))
+            .filter(|it| query.build.is_none_or(|build| it.announcement.runs(build)))
             .filter_map(|it| Some((self.cost(now, it, query)?, it)))
             .min_by(|left, right| {
                 let by_cost = left.0.total_cmp(&right.0);
--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -30,9 +30,16 @@
 use crate::plain::ForwardReport;
 use crate::plain::PlainOutcome;
 use crate::plain::PlainRequest;
+use crate::plan::RouteRule;
 use crate::pool::TargetPool;
+use crate::software::SoftwareBuild;
+use crate::streams::ResumeRefusal;
+use crate::streams::StreamClient;
+use crate::streams::StreamKey;
+use crate::streams::StreamRecord;
 use crate::suspects::SuspectWatch;
 use crate::usage::UsageSums;
+use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_policy::rate::PermitClaim;
 use bergamotlane_policy::rate::PermitReply;
 use bergamotlane_policy::suspect::RequestDigest;
@@ -65,6 +72,7 @@
     pool: Arc<TargetPool>,
     permits: PermitClient,
     suspects: SuspectWatch,
+    streams: StreamClient,
     chooser: Mutex<TargetChooser>,
     usage: Mutex<UsageSums>,
     window_ms: u64,
@@ -88,6 +96,7 @@
             dialect,
             pool: TargetPool::new(),
             permits: PermitClient::new(leader.clone()),
+            streams: StreamClient::new(leader.clone()),
             suspects: SuspectWatch::new(leader),
             chooser: Mutex::new(TargetChooser::new(instance, zone)),
             usage: Mutex::default(),
@@ -105,6 +114,25 @@
         &self.suspects
     }
 
+    /// Returns the build that began a stream which a caller takes up on a route.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream can't go on: no leader answers before `limit`, nobody knows which build
+    /// began it, or the route no longer leads to its service.
+    pub async fn find_origin(
+        &self,
+        route: &RouteRule,
+        stream: StreamKey,
+        limit: ClockTime,
+    ) -> Result<SoftwareBuild, ResumeRefusal> {
+        let build = self.streams.find(stream, limit).await?;
+        match route.uses(&build.service) {
+            true => Ok(build),
+            false => Err(ResumeRefusal::OtherService),
+        }
+    }
+
     /// Returns the usage sums counted so far.
     pub fn usage(&self) -> UsageSums {
         lock(&self.usage).clone()
@@ -125,6 +153,7 @@
         }
         let mut progress = ForwardProgress::new(request, suspect);
         let outcome = self.try_targets(request, &mut progress).await;
+        let outcome = self.record_stream(request, outcome).await;
         if progress.may_have_run
             && let Some(customer) = &request.customer
         {
@@ -136,6 +165,28 @@
         }
     }
 
+    /// Records which build begins a stream that its caller may take up, before the caller gets the
+    /// answer.
+    async fn record_stream(&self, request: &PlainRequest, outcome: PlainOutcome) -> PlainOutcome {
+        let (Some(stream), PlainOutcome::Answered(answer)) = (request.begins, &outcome) else {
+            return outcome;
+        };
+        let Some(build) = answer.build.as_ref().filter(|_| answer.status.is_success()) else {
+            return outcome;
+        };
+        let record = self.streams.record(stream, build.clone()).await;
+        spdlog::info!("stream: begun", kv: {
+            request = request.id.as_str(),
+            service = build.service.as_str(),
+            software = build.version.as_str(),
+            record = format!("{record:?}"),
+        });
+        match record {
+            StreamRecord::Durable | StreamRecord::Pending => outcome,
+            StreamRecord::Conflict => PlainOutcome::Failed,
+        }
+    }
+
     /// Returns the time for which a request is not sent on because targets crashed under it, in
     /// milliseconds.
     fn quarantine_left_ms(&self, digest: RequestDigest) -> Option<u64> {
@@ -229,6 +280,7 @@
                 cold_pause_ms: request.cold_pause_ms,
                 reserved_slots: request.reserved_slots,
                 with_limited,
+                build: request.resumes.as_ref(),
             };
             let Some(target) = ChosenTarget::choose(&self.chooser, query) else {
                 let denied_ms = || self.chooser().denied_ms(now(), &request.service);
--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -199,11 +199,21 @@
         if head.status.is_success() && metadata.stamp.is_none() {
             return TryOutcome::Failed;
         }
+        let announcement = &target.announcement;
+        // A target that has restarted under its ID may run another build.
+        if request.tracks_build()
+            && !self
+                .chooser()
+                .has_start(&announcement.id, announcement.born)
+        {
+            return TryOutcome::Failed;
+        }
         TryOutcome::Answered(PlainAnswer {
             status: head.status,
             stamp: metadata.stamp,
             headers: head.headers,
             body: body.to_bytes(),
+            build: target.announcement.build(),
         })
     }
 
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -12,7 +12,9 @@
 use crate::plan::RoutingPlan;
 use crate::registry::TargetAnnouncement;
 use crate::registry::TargetView;
+use crate::software::SoftwareBuild;
 use crate::state::StateCommand;
+use crate::streams::StreamKey;
 use crate::suspects::SuspectView;
 use crate::texts::TextDelta;
 use crate::usage::UsageSums;
@@ -139,6 +141,15 @@
     },
     /// Record that the request with this digest was answered by a target.
     ClearSuspect([u8; 16]),
+    /// Record which build begins a stream; the reply follows once it is durable.
+    BeginStream {
+        /// Identity of the stream.
+        stream: StreamKey,
+        /// Build of the target that begins it.
+        build: SoftwareBuild,
+    },
+    /// Return the build that began a stream.
+    FindStream(StreamKey),
     /// Record the limit that a target names in its answers.
     NameLimit {
         /// ID of the target.
@@ -193,6 +204,8 @@
     },
     /// Request body of an item.
     Body(Bytes),
+    /// Build that began a stream.
+    Stream(SoftwareBuild),
     /// Whether the instance is drained.
     Retired(bool),
     /// The request may be sent to its target after this delay, in milliseconds.
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -12,7 +12,9 @@
 use crate::jobs::JobRecord;
 use crate::registry::AnnouncementEffect;
 use crate::registry::TargetAnnouncement;
+use crate::software::SoftwareBuild;
 use crate::state::StateCommand;
+use crate::streams::StreamKey;
 use bergamotlane_policy::rate::PermitClaim;
 use bergamotlane_policy::rate::RequestRate;
 use bergamotlane_policy::suspect::RequestDigest;
@@ -93,6 +95,14 @@
                 self.name_limit(&target, rate.map(RequestRate), now() - age_ms);
                 self.reply(origin, LeaderReply::Done);
             }
+            LeaderCall::BeginStream { stream, build } => self.begin_stream(stream, build, origin),
+            LeaderCall::FindStream(stream) => {
+                let reply = match self.state.streams.get(stream) {
+                    Some(build) => LeaderReply::Stream(build.clone()),
+                    None => LeaderReply::Missing,
+                };
+                self.reply(origin, reply);
+            }
             LeaderCall::Retire(instance) => self.retire(instance, origin),
             LeaderCall::RetireState(instance) => {
                 let reply = match self.is_known_keeper(&instance) {
@@ -127,6 +137,15 @@
         }
     }
 
+    /// Records which build begins a stream, unless another one has begun it.
+    fn begin_stream(&mut self, stream: StreamKey, build: SoftwareBuild, origin: CallOrigin) {
+        match self.state.streams.get(stream) {
+            Some(known) if *known == build => self.reply(origin, LeaderReply::Done),
+            Some(_) => self.reply(origin, LeaderReply::Conflict),
+            None => self.propose(&StateCommand::BeginStream { stream, build }, origin),
+        }
+    }
+
     /// Returns a job if it belongs to the customer.
     fn customer_job(&self, job: &str, customer: Option<&str>) -> Option<&JobRecord> {
         let record = self.state.jobs.get(job)?;
--- a/crates/service/src/keeper/scoring.rs
+++ b/crates/service/src/keeper/scoring.rs
@@ -195,6 +195,8 @@
             latency_target_ms: route.latency_target_ms,
             limit: limit.min(task.expires),
             cold_pause_ms: self.cold_pause_ms(cold_per_s),
+            begins: None,
+            resumes: None,
             reserved_slots: Some(NON_ROLLOUT_SLOTS),
             sharers: self.entry_count() + 1,
         })
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod scoring;
 pub mod software;
 pub mod state;
+pub mod streams;
 pub mod suspects;
 pub mod text_journal;
 pub mod texts;
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -40,6 +40,8 @@
     pub target_crashes: IntCounter,
     /// Number of requests refused because targets crashed under them.
     pub quarantined: IntCounter,
+    /// Number of streams that callers may take up, by what became of their record.
+    pub streams: IntCounterVec,
     /// Number of runs of items, by outcome.
     pub runs: IntCounterVec,
     /// Number of reward calls, by outcome.
@@ -122,6 +124,7 @@
             targets_limited: gauge("targets_limited", "Targets that name a limit."),
             target_crashes: counter("target_crashes_total", "Targets crashed under requests."),
             quarantined: counter("quarantined_total", "Requests refused in quarantine."),
+            streams: counters("streams_total", "Resumable streams.", "outcome"),
             runs: counters("item_runs_total", "Runs of items.", "outcome"),
             reward_calls: counters("reward_calls_total", "Reward calls.", "outcome"),
             score_seconds: register(&registry, scoring),
--- a/crates/service/src/plain.rs
+++ b/crates/service/src/plain.rs
@@ -6,6 +6,8 @@
 use http::StatusCode;
 
 use crate::plan::RouteKind;
+use crate::software::SoftwareBuild;
+use crate::streams::StreamKey;
 use bergamotlane_coordination::clock::ClockTime;
 
 /// Request to forward to a target of a plain service.
@@ -39,10 +41,21 @@
     /// Number of slots of each target that the request leaves free, or `None` if the target's own
     /// queue limits the requests.
     pub reserved_slots: Option<u32>,
+    /// Identity of the stream that the request begins, if its caller may take it up.
+    pub begins: Option<StreamKey>,
+    /// Build that began the stream that the request takes up; only targets that run it are eligible.
+    pub resumes: Option<SoftwareBuild>,
     /// Number of processes that share a target's limit while the leader can't be asked.
     pub sharers: u32,
 }
 
+impl PlainRequest {
+    /// Returns whether it matters which build answers the request.
+    pub fn tracks_build(&self) -> bool {
+        self.begins.is_some() || self.resumes.is_some()
+    }
+}
+
 /// Complete answer of a target.
 #[derive(Debug)]
 pub struct PlainAnswer {
@@ -54,6 +67,8 @@
     pub headers: HeaderMap,
     /// Answer body.
     pub body: Bytes,
+    /// Build of the target, if known.
+    pub build: Option<SoftwareBuild>,
 }
 
 /// Outcome of forwarding a request.
--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -53,6 +53,11 @@
 }
 
 impl TargetAnnouncement {
+    /// Returns whether the target runs a build.
+    pub fn runs(&self, build: &SoftwareBuild) -> bool {
+        self.service == build.service && self.software.as_ref() == Some(&build.version)
+    }
+
     /// Returns the build that the target runs, if it names the version of its software.
     pub fn build(&self) -> Option<SoftwareBuild> {
         let version = self.software.clone()?;
--- a/crates/service/src/state.rs
+++ b/crates/service/src/state.rs
@@ -13,6 +13,9 @@
 use crate::jobs::JobSubmission;
 use crate::jobs::JobTable;
 use crate::plan::RoutingPlan;
+use crate::software::SoftwareBuild;
+use crate::streams::StreamKey;
+use crate::streams::StreamTable;
 
 /// Number of requests by customer in one usage window.
 pub type UsageCounts = BTreeMap<String, u64>;
@@ -64,6 +67,13 @@
     WindowReported(u64),
     /// Marks the instance of this name as one to be drained.
     Retire(String),
+    /// Records which build begins a stream that its caller may take up.
+    BeginStream {
+        /// Identity of the stream.
+        stream: StreamKey,
+        /// Build of the target that begins it.
+        build: SoftwareBuild,
+    },
     /// Records that a target drains or is gone, so that every later leader knows it.
     LeaveTarget {
         /// ID of the target.
@@ -125,6 +135,9 @@
     /// Targets that drain or are gone by ID, the latest ones only.
     #[serde(default)]
     pub leaving: BTreeMap<String, LeavingTarget>,
+    /// Builds that began the latest streams.
+    #[serde(default)]
+    pub streams: StreamTable,
 }
 
 impl ServiceState {
@@ -179,6 +192,7 @@
             StateCommand::Retire(instance) => {
                 self.retiring.insert(instance);
             }
+            StateCommand::BeginStream { stream, build } => self.streams.insert(stream, build),
             StateCommand::LeaveTarget { id, born, departed } => {
                 self.record_leaving(index, id, born, departed);
             }
--- a/crates/service/tests/choice.rs
+++ b/crates/service/tests/choice.rs
@@ -8,6 +8,7 @@
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use rstest::rstest;
 
 use crate::common::target_view;
 use bergamotlane_coordination::clock::ClockTime;
@@ -15,6 +16,7 @@
 use bergamotlane_service::choice::TargetChooser;
 use bergamotlane_service::registry::TargetStage;
 use bergamotlane_service::registry::TargetView;
+use bergamotlane_service::software::SoftwareBuild;
 
 const START: ClockTime = ClockTime(100_000);
 
@@ -37,6 +39,7 @@
         cold_pause_ms: Some(1_000),
         reserved_slots: None,
         with_limited: true,
+        build: None,
     };
     chooser
         .choose(now, query)
@@ -216,3 +219,37 @@
         );
     }
 }
+
+/// Guards against a take-up that goes to a target of other software, also when all targets of its own
+/// are gone, cold or failing.
+#[rstest]
+#[case::own_version_serves("v2", Some("z"))]
+#[case::no_target_of_the_version("v3", None)]
+fn a_take_up_goes_to_the_build_that_began_its_stream_alone(
+    #[case] version: &str,
+    #[case] expected: Option<&str>,
+) {
+    let mut views = targets_in_three_zones();
+    views[1].announcement.software = None;
+    views[2].announcement.software = Some("v2".to_owned());
+    let mut chooser = chooser(&views);
+    let build = SoftwareBuild {
+        service: "desk".to_owned(),
+        version: version.to_owned(),
+    };
+    for _ in 0..20 {
+        let query = ChoiceQuery {
+            service: "desk",
+            tried: &[],
+            cold_pause_ms: None,
+            reserved_slots: None,
+            with_limited: true,
+            build: Some(&build),
+        };
+        let chosen = chooser.choose(START, query).map(|it| it.announcement.id);
+        assert_eq!(chosen.as_deref(), expected);
+        if let Some(id) = chosen {
+            chooser.finish_request(START, &id, None);
+        }
+    }
+}
--- a/crates/service/tests/limits.rs
+++ b/crates/service/tests/limits.rs
@@ -45,6 +45,7 @@
         cold_pause_ms: None,
         reserved_slots: None,
         with_limited,
+        build: None,
     };
     chooser.choose(now, query).map(|it| it.announcement.id)
 }
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -6,6 +6,7 @@
 use http::HeaderMap;
 use http::Method;
 use rstest::rstest;
+use tokio::time::sleep;
 
 use crate::support::StubBehaviour;
 use crate::support::StubTarget;
@@ -35,6 +36,8 @@
         limit: now() + limit_ms,
         cold_pause_ms: None,
         reserved_slots: None,
+        begins: None,
+        resumes: None,
         sharers: 1,
     }
 }
@@ -61,6 +64,7 @@
             cold_pause_ms: None,
             reserved_slots: None,
             with_limited: true,
+            build: None,
         };
         let target = chooser.choose(now(), query).unwrap();
         tried.push(target.announcement.id);
@@ -202,6 +206,7 @@
         cold_pause_ms: None,
         reserved_slots: Some(3),
         with_limited: true,
+        build: None,
     };
     assert!(forwarder.chooser().choose(now(), query).is_some());
 }
@@ -287,3 +292,32 @@
     forwarder.forward(&request(RouteKind::Safe, 3_000)).await;
     assert_eq!(forwarder.usage().windows[&0]["mint"], 3);
 }
+
+/// Guards against a take-up that a restarted target answers, which may run other software by now.
+#[rstest]
+#[case::same_start(1, true)]
+#[case::restarted(2, false)]
+#[tokio::test]
+async fn an_answer_of_a_restarted_target_does_not_continue_a_stream(
+    #[case] born: u64,
+    #[case] is_answered: bool,
+) {
+    let stub = StubTarget::start(StubBehaviour::Slow(200)).await;
+    let forwarder = forwarder(5_000);
+    forwarder
+        .chooser()
+        .update(now(), &[view("t", stub.address)]);
+    let take_up = PlainRequest {
+        resumes: view("t", stub.address).announcement.build(),
+        ..request(RouteKind::Stream, 2_000)
+    };
+    let restart = async {
+        sleep(Duration::from_millis(100)).await;
+        let mut restarted = view("t", stub.address);
+        restarted.announcement.born = born;
+        forwarder.chooser().update(now(), &[restarted]);
+    };
+    let (report, ()) = tokio::join!(forwarder.forward(&take_up), restart);
+    let answered = matches!(report.outcome, PlainOutcome::Answered(_));
+    assert_eq!(answered, is_answered);
+}
