--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -174,7 +174,7 @@
         let Some(build) = answer.build.as_ref().filter(|_| answer.status.is_success()) else {
             return outcome;
         };
-        let record = self.streams.record(stream, build.clone()).await;
+        let record = self.streams.record(stream, (**build).clone()).await;
         spdlog::info!("stream: begun", kv: {
             request = request.id.as_str(),
             service = build.service.as_str(),
--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -213,7 +213,7 @@
             stamp: metadata.stamp,
             headers: head.headers,
             body: body.to_bytes(),
-            build: target.announcement.build(),
+            build: target.announcement.build().map(Box::new),
         })
     }
 
--- a/crates/service/src/plain.rs
+++ b/crates/service/src/plain.rs
@@ -68,7 +68,7 @@
     /// Answer body.
     pub body: Bytes,
     /// Build of the target, if known.
-    pub build: Option<SoftwareBuild>,
+    pub build: Option<Box<SoftwareBuild>>,
 }
 
 /// Outcome of forwarding a request.
