Resume a daemon's generation only at the software version that began it

Targets announce the version of their software; after its first token a generation chooses among targets with the same one, and fails at once if none is left. Targets that name none count as one version, so that fleets that don't announce it go on as before.

--- a/crates/daemon/src/control/publish.rs
+++ b/crates/daemon/src/control/publish.rs
@@ -200,6 +200,7 @@
                 local: announcement.zone == self.config.zone,
                 reclaimable: announcement.class == PriceClass::Reclaimable,
                 version: announcement.version,
+                software: announcement.software,
                 others_load: announcement.load.saturating_sub(entry.counters.in_flight()),
                 capacity: match is_warm {
                     true => route.target_slots,
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -184,6 +184,8 @@
             match stream.next(expected).await {
                 Ok(event) => {
                     self.body.resume.push(event.text.clone());
+                    // What other software makes doesn't fit to the tokens so far.
+                    self.request.choice.software = Some(stream.slot.target.software);
                     return Ok(GenerationStep::Token(event));
                 }
                 Err(AttemptEnd::Finished(reason)) => {
--- a/crates/daemon/src/gate.rs
+++ b/crates/daemon/src/gate.rs
@@ -187,6 +187,9 @@
         {
             return Ok(slot);
         }
+        if !has_software(shared, &request) {
+            return Err(GateRefusal::NoTarget);
+        }
         let (reply, result) = oneshot::channel();
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let sent = self.queue.send(WaitingRequest { request, reply });
@@ -200,6 +203,17 @@
     }
 }
 
+/// Returns whether a target runs the software that the request needs, if it needs any.
+fn has_software(shared: &TrafficShared, request: &GateRequest) -> bool {
+    let Some(software) = request.choice.software else {
+        return true;
+    };
+    let view = shared.view();
+    let pool = view.routes().service(&request.service);
+    let pool = pool.and_then(|(key, _)| view.pools.get(key));
+    pool.is_some_and(|it| it.chooser.has_software(software))
+}
+
 /// Takes a free slot of a target that fits the request, if there is one.
 fn try_slot(
     shared: &TrafficShared,
@@ -290,6 +304,7 @@
                     // A request that only some targets can serve must not block the requests
                     // behind it; without such a requirement there is no free slot at all.
                     let is_constrained = waiting.request.choice.least_version > 0
+                        || waiting.request.choice.software.is_some()
                         || waiting.request.choice.avoid.is_some();
                     skipped.push(waiting);
                     if !is_constrained {
--- a/crates/daemon/src/serve/targets.rs
+++ b/crates/daemon/src/serve/targets.rs
@@ -20,6 +20,7 @@
 use bergamotlane_policy::route::KeyOwner;
 use bergamotlane_policy::targets::TargetAnnouncement;
 use bergamotlane_policy::targets::TargetName;
+use bergamotlane_policy::targets::software_digest;
 use bergamotlane_wire::http::AnnounceBody;
 
 /// Accepts the announcements of targets.
@@ -109,6 +110,7 @@
         warm: body.warm,
         leaving: body.leaving,
         version: body.weight_version,
+        software: software_digest(&body.software),
         load: body.load,
     };
     Ok((announcement, body.uptime_ms))
--- a/crates/daemon/tests/processes/faults.rs
+++ b/crates/daemon/tests/processes/faults.rs
@@ -159,6 +159,42 @@
     assert_eq!(cluster.audit(sound).await["keys_seen"], 0);
 }
 
+/// Guards against a generation that one software version began and another goes on with, after its
+/// engine failed; a generation that no token of was made yet may go anywhere.
+#[tokio::test(flavor = "multi_thread")]
+async fn a_generation_goes_on_at_the_software_version_that_began_it_alone() {
+    let mut cluster = Cluster::start(3, 3, 3).await;
+    let mut engines = Vec::new();
+    for (name, software) in [("one", "1"), ("two", "2"), ("three", "1")] {
+        let arguments = ["--name", name, "--software", software];
+        engines.push(cluster.target("engine", "relief-llm", &arguments).await);
+    }
+    let [first, other, same] = [engines[0], engines[1], engines[2]];
+    for faulty in [first, same] {
+        cluster.fault(faulty, "truncate", CALLS as u32).await;
+    }
+    let mut calls = Vec::new();
+    for number in 0..CALLS {
+        let path = "/v1/chat/completions";
+        let request = cluster.call(number % 3, Method::POST, path);
+        calls.push(tokio::spawn(request.json(&chat(number)).send()));
+    }
+    for call in calls {
+        call.await
+            .unwrap()
+            .expect("daemon answers")
+            .bytes()
+            .await
+            .ok();
+    }
+    let mut resumed = Vec::new();
+    for engine in [first, other, same] {
+        resumed.push(cluster.audit(engine).await["resumed"].as_u64().unwrap());
+    }
+    assert!(resumed[0] + resumed[2] > 0, "{resumed:?}");
+    assert_eq!(resumed[1], 0, "{resumed:?}");
+}
+
 /// Returns the text of a stream, which must end with the end marker.
 fn streamed_text(text: &str) -> String {
     assert!(text.ends_with("data: [DONE]\n\n"), "{text}");
--- a/crates/policy/examples/choice.rs
+++ b/crates/policy/examples/choice.rs
@@ -36,6 +36,7 @@
                 local: identity % 3 == 0,
                 reclaimable: identity % 2 == 0,
                 version: 1,
+                software: 0,
                 others_load: random.random_range(0..8),
                 capacity: 16,
             });
--- a/crates/policy/src/targets/choice.rs
+++ b/crates/policy/src/targets/choice.rs
@@ -50,6 +50,14 @@
     u64::from_le_bytes(digest)
 }
 
+/// Returns a 64-bit digest of a target's software version.
+pub fn software_digest(version: &str) -> u64 {
+    let hash = blake3::hash(version.as_bytes());
+    let mut digest = [0; 8];
+    digest.copy_from_slice(&hash.as_bytes()[..8]);
+    u64::from_le_bytes(digest)
+}
+
 /// A target that requests may be sent to.
 #[derive(Debug, Clone)]
 pub struct ChoiceTarget {
@@ -65,6 +73,8 @@
     pub reclaimable: bool,
     /// Weight version that the target last reported.
     pub version: u64,
+    /// Digest of the version of its software.
+    pub software: u64,
     /// Requests in flight from other entries, as last reported by the target.
     pub others_load: u32,
     /// Concurrent requests that the target can serve.
@@ -80,6 +90,8 @@
     pub prefer_reclaimable: bool,
     /// Oldest weight version that is acceptable.
     pub least_version: u64,
+    /// Digest of the software version that a target must run, or `None` if any may serve the request.
+    pub software: Option<u64>,
     /// Identity of a target to exclude because it already failed the request.
     pub avoid: Option<u64>,
     /// Random number from which the candidates are sampled.
@@ -114,6 +126,11 @@
         self.keys.len()
     }
 
+    /// Returns whether a target runs the software with this digest.
+    pub fn has_software(&self, software: u64) -> bool {
+        self.iter().any(|it| it.software == software)
+    }
+
     /// Returns whether there is no target.
     pub fn is_empty(&self) -> bool {
         self.keys.is_empty()
@@ -179,7 +196,12 @@
         let own = target.counters.in_flight();
         let full = own >= target.counters.granted(now);
         let old = target.version < request.least_version;
-        if full || old || request.avoid == Some(target.identity) || target.counters.is_ejected(now)
+        let is_other = request.software.is_some_and(|it| it != target.software);
+        if full
+            || old
+            || is_other
+            || request.avoid == Some(target.identity)
+            || target.counters.is_ejected(now)
         {
             return None;
         }
--- a/crates/policy/src/targets/mod.rs
+++ b/crates/policy/src/targets/mod.rs
@@ -18,6 +18,7 @@
 pub use choice::TargetChooser;
 pub use choice::TargetKey;
 pub use choice::prefix_digest;
+pub use choice::software_digest;
 pub use counters::SlotPermit;
 pub use counters::TargetCounters;
 pub use fleet::FleetConfig;
--- a/crates/policy/src/targets/registry.rs
+++ b/crates/policy/src/targets/registry.rs
@@ -46,6 +46,8 @@
     pub leaving: bool,
     /// Weight version loaded; zero for plain services.
     pub version: u64,
+    /// Digest of the version of its software.
+    pub software: u64,
     /// Requests in progress at the target when it sent the announcement.
     pub load: u32,
 }
--- a/crates/policy/src/targets/tests.rs
+++ b/crates/policy/src/targets/tests.rs
@@ -35,6 +35,7 @@
         warm,
         leaving: false,
         version: 1,
+        software: 0,
         load: 0,
     }
 }
@@ -274,6 +275,7 @@
         local,
         reclaimable,
         version: 5,
+        software: identity % 2,
         others_load: 0,
         capacity: 16,
     }
@@ -291,6 +293,8 @@
 #[case::cached_prefix_beats_the_zone(ChoiceRequest { prefix: 77, ..ChoiceRequest::default() }, Some(3))]
 #[case::rollouts_prefer_reclaimable(ChoiceRequest { prefer_reclaimable: true, ..ChoiceRequest::default() }, Some(4))]
 #[case::a_failed_target_is_excluded(ChoiceRequest { avoid: Some(2), ..ChoiceRequest::default() }, Some(1))]
+#[case::only_the_same_software(ChoiceRequest { software: Some(1), ..ChoiceRequest::default() }, Some(1))]
+#[case::no_target_with_the_software(ChoiceRequest { software: Some(2), ..ChoiceRequest::default() }, None)]
 #[case::no_target_with_the_version(ChoiceRequest { least_version: 6, ..ChoiceRequest::default() }, None)]
 fn the_choice_weighs_zone_prefix_class_and_version(
     #[case] request: ChoiceRequest,
--- a/crates/standins/src/announce.rs
+++ b/crates/standins/src/announce.rs
@@ -26,6 +26,8 @@
     pub zone: String,
     /// Capacity class, `steady` or `reclaimable`.
     pub class: String,
+    /// Version of the target's software.
+    pub software: String,
     /// Key that the targets of the service authenticate with.
     pub key: String,
     /// Addresses of the entries' listeners for targets. Announcements go to one after the
@@ -35,8 +37,8 @@
 
 impl AnnouncerSettings {
     /// Names of the options that [`Self::read`] takes.
-    pub const OPTIONS: [&str; 7] = [
-        "listen", "service", "name", "zone", "class", "key", "entries",
+    pub const OPTIONS: [&str; 8] = [
+        "listen", "service", "name", "zone", "class", "software", "key", "entries",
     ];
 
     /// Reads the settings from a command line.
@@ -52,6 +54,7 @@
             address,
             zone: arguments.text("zone", "zone"),
             class: arguments.text("class", "steady"),
+            software: arguments.text("software", ""),
             key: arguments.text("key", ""),
             entries: arguments.addresses("entries"),
         }
@@ -99,6 +102,7 @@
             warm: now.warm,
             leaving: now.leaving,
             weight_version: now.version,
+            software: settings.software.clone(),
             load: now.load,
         };
         round += 1;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -83,6 +83,8 @@
     overloads: AtomicU32,
     served: AtomicU64,
     leaving: Mutex<bool>,
+    /// Number of requests that asked to go on with a generation of another engine.
+    resumed: AtomicU64,
     /// Number of requests that carried a caller's key; entries must remove them all.
     keys_seen: AtomicU64,
 }
@@ -102,6 +104,7 @@
             overloads: AtomicU32::new(0),
             served: AtomicU64::new(0),
             leaving: Mutex::new(false),
+            resumed: AtomicU64::new(0),
             keys_seen: AtomicU64::new(0),
         })
     }
@@ -231,6 +234,7 @@
                     "warm": state.is_warm(),
                     "max_cold_load": state.max_cold_load.load(Ordering::Relaxed),
                     "overloads": state.overloads.load(Ordering::Relaxed),
+                    "resumed": state.resumed.load(Ordering::Relaxed),
                     "keys_seen": state.keys_seen.load(Ordering::Relaxed),
                 }),
             ),
@@ -305,6 +309,9 @@
     let is_straggler = rand::random::<u64>() % 1_000 < state.settings.straggler_per_mille;
     let factor = if is_straggler { 20 } else { 1 };
     let first = request.resume.len() as u32;
+    if first > 0 {
+        state.resumed.fetch_add(1, Ordering::Relaxed);
+    }
     let generation = TokenGenerator {
         guard,
         fault,
--- a/crates/wire/src/http.rs
+++ b/crates/wire/src/http.rs
@@ -73,6 +73,10 @@
     /// Weight version that the target has loaded; zero for services without weights.
     #[serde(default)]
     pub weight_version: u64,
+    /// Version of the target's software. A generation that one version began is resumed only at
+    /// targets with the same; those that name none count as one version.
+    #[serde(default)]
+    pub software: String,
     /// Number of requests in progress at the target.
     pub load: u32,
 }
--- a/crates/wire/src/mirror.rs
+++ b/crates/wire/src/mirror.rs
@@ -156,12 +156,14 @@
 
 /// Defines the wire type of a domain struct, with the same field names, and its conversions.
 macro_rules! mirror_struct {
-    ($(#[$doc:meta])* $wire:ident for $domain:ty { $($field:ident: $type:ty),* $(,)? }) => {
+    ($(#[$doc:meta])* $wire:ident for $domain:ty {
+        $($(#[$attribute:meta])* $field:ident: $type:ty),* $(,)?
+    }) => {
         $(#[$doc])*
         #[derive(Debug, Clone, serde::Serialize, serde::Deserialize)]
         #[allow(missing_docs)]
         pub struct $wire {
-            $(pub $field: <$type as $crate::mirror::Mirror>::Wire,)*
+            $($(#[$attribute])* pub $field: <$type as $crate::mirror::Mirror>::Wire,)*
         }
 
         impl $crate::mirror::Mirror for $domain {
--- a/crates/wire/src/targets.rs
+++ b/crates/wire/src/targets.rs
@@ -28,6 +28,8 @@
         warm: bool,
         leaving: bool,
         version: u64,
+        #[serde(default)]
+        software: u64,
         load: u32,
     }
 }
