Serve callers of an entry without a path to the targets through other entries

An entry compares its targets: if two of them can't be reached, one after the other, and none has answered since, it has lost its path (reach.rs). Every 200 ms two targets are tried; the first connection ends the detour. A request that hangs on a kept connection for 0.3 s while nobody answers checks its target by a new one. A connection is given up after 200 ms (400 before), as on links: the retransmission of its first packet comes after a second.

Weighed: a way through keepers (few, and the leader's processor binds), reporting the entry as not ready (the platform takes it back if most of a zone is out, and kept connections stay), taking the targets out for everybody (others reach them).

--- a/crates/service/src/choice.rs
+++ b/crates/service/src/choice.rs
@@ -7,6 +7,7 @@
 
 use std::cmp::Ordering;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use crate::registry::TargetEntry;
 use crate::registry::TargetRegistry;
@@ -161,6 +162,24 @@
         self.evacuated = zones;
     }
 
+    /// Returns the number of known targets.
+    pub fn target_count(&self) -> usize {
+        self.registry.iter().count()
+    }
+
+    /// Returns the addresses of up to `count` targets, beginning at a place that `round` selects.
+    pub fn sample(&self, round: usize, count: usize) -> Vec<SocketAddr> {
+        let targets = self.registry.iter().map(|(_, it)| it.announcement.address);
+        let start = round % self.target_count().max(1);
+        let all: Vec<SocketAddr> = targets.collect();
+        all.iter()
+            .cycle()
+            .skip(start)
+            .take(count.min(all.len()))
+            .copied()
+            .collect()
+    }
+
     /// Returns whether a target is still the one that started at `born`.
     pub fn has_start(&self, id: &str, born: u64) -> bool {
         let entry = self.registry.get(id);
--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -12,6 +12,7 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
@@ -33,10 +34,24 @@
 use crate::link::LinkHub;
 use crate::link::LinkId;
 use crate::metrics::METRICS;
+use crate::plain::PlainOutcome;
+use crate::plain::PlainRequest;
 use crate::plan::RouteIndex;
+use crate::relay::RelayCall;
+use crate::relay::RelayClient;
+use crate::relay::RelayReply;
+use crate::relay::RelayRequest;
+use crate::relay_links::RelayLinks;
 use crate::usage::UsageSums;
 use bergamotlane_storage::clock::now;
 
+/// Interval at which abandoned relayed requests are cancelled, and at which targets are probed while
+/// the path to them is lost.
+const RELAY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Most requests of other entries that are served at the same time.
+const MAX_RELAYED: usize = 64;
+
 /// Interval between two reports of usage to the keepers.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -49,6 +64,8 @@
     pub zone: String,
     /// Link addresses of keepers to connect to at start; the others are learned from them.
     pub seeds: BTreeSet<SocketAddr>,
+    /// Address at which other entries link to this one, to send requests through it.
+    pub relay: Option<SocketAddr>,
     /// Length of a usage window, in milliseconds.
     pub usage_window_ms: u64,
 }
@@ -63,6 +80,8 @@
     has_routes: watch::Sender<bool>,
     entry_count: AtomicU32,
     draining: AtomicBool,
+    /// Places for requests of other entries.
+    relay_slots: Arc<Semaphore>,
     /// Monotonic time of the last view, in milliseconds.
     view_at: AtomicU64,
 }
@@ -104,6 +123,46 @@
         self.draining.store(true, Ordering::Relaxed);
     }
 
+    /// Returns the number of requests of other entries in progress.
+    pub fn relayed(&self) -> usize {
+        MAX_RELAYED - self.relay_slots.available_permits()
+    }
+
+    /// Serves a request of another entry, which has no path to the targets.
+    async fn serve_relayed(&self, request: RelayRequest) -> RelayReply {
+        let Ok(_slot) = self.relay_slots.try_acquire() else {
+            return RelayReply::Refused;
+        };
+        if self.is_draining() || self.forwarder.reach().is_lost() {
+            return RelayReply::Refused;
+        }
+        let Some(routes) = self.routes() else {
+            return RelayReply::Refused;
+        };
+        let Some(spec) = routes.service(request.service()) else {
+            return RelayReply::NotRun;
+        };
+        let cold_pause_ms = self.cold_pause_ms(spec.cold_per_s);
+        let request = match PlainRequest::try_from(request) {
+            Ok(request) => PlainRequest {
+                cold_pause_ms,
+                sharers: self.sharers(),
+                ..request
+            },
+            Err(error) => {
+                spdlog::warn!("relay: malformed request", kv: { error = error.to_string() });
+                return RelayReply::NotRun;
+            }
+        };
+        METRICS.relays.with_label_values(&["served"]).inc();
+        let outcome = self.forwarder.forward_relayed(&request).await.outcome;
+        match outcome {
+            // Another entry may have a path.
+            PlainOutcome::NotRun if self.forwarder.reach().is_lost() => RelayReply::Refused,
+            outcome => RelayReply::from(outcome),
+        }
+    }
+
     /// Returns the time since the last view arrived, in milliseconds.
     pub fn view_age_ms(&self) -> u64 {
         now().0.saturating_sub(self.view_at.load(Ordering::Relaxed))
@@ -131,6 +190,8 @@
     events: mpsc::UnboundedReceiver<LinkEvent>,
     requests: mpsc::UnboundedReceiver<CallRequest>,
     seeds: mpsc::UnboundedReceiver<BTreeSet<SocketAddr>>,
+    relay_calls: mpsc::UnboundedReceiver<RelayCall>,
+    relays: RelayLinks,
     links: BTreeMap<LinkId, HelloFrame>,
     /// Term and link of the current leader.
     leader: Option<(u64, LinkId)>,
@@ -140,18 +201,22 @@
     sent_usage: UsageSums,
 }
 
-/// Spawns an entry's event loop; must be called within the runtime. The returned sender replaces
-/// the seed addresses.
-pub fn start_entry<D: TargetDialect>(
-    settings: EntrySettings,
-    dialect: D,
-) -> (
-    Arc<EntryShared<D>>,
-    mpsc::UnboundedSender<BTreeSet<SocketAddr>>,
-) {
+/// A started entry.
+pub struct EntryHandle<D> {
+    /// State that the request handlers share.
+    pub shared: Arc<EntryShared<D>>,
+    /// Replaces the seed addresses.
+    pub seeds: mpsc::UnboundedSender<BTreeSet<SocketAddr>>,
+    /// Owner of the links, which has to accept those of other entries.
+    pub hub: Arc<LinkHub>,
+}
+
+/// Spawns an entry's event loop; must be called within the runtime.
+pub fn start_entry<D: TargetDialect>(settings: EntrySettings, dialect: D) -> EntryHandle<D> {
     let (leader, requests) = LeaderClient::new();
     let (sender, events) = mpsc::unbounded_channel();
     let (seed_sender, seeds) = mpsc::unbounded_channel();
+    let (relay, relay_calls) = RelayClient::new();
     let process_run = rand::random();
     let hello = HelloFrame {
         run: process_run,
@@ -161,6 +226,7 @@
         zone: settings.zone.clone(),
         address: None,
         control: None,
+        relay: settings.relay,
         founds: false,
         keepers: BTreeSet::new(),
     };
@@ -171,22 +237,27 @@
             &settings.name,
             &settings.zone,
             settings.usage_window_ms,
-        ),
+        )
+        .with_relay(relay),
         leader,
         index: Mutex::new(None),
         has_routes: watch::Sender::new(false),
         entry_count: AtomicU32::new(1),
         draining: AtomicBool::new(false),
+        relay_slots: Arc::new(Semaphore::new(MAX_RELAYED)),
         view_at: AtomicU64::new(0),
     });
     let directory = KeeperDirectory::new(now(), &settings.name, settings.seeds.clone());
+    let hub = LinkHub::new(hello, sender);
     let entry = EntryLoop {
         process_run,
         shared: Arc::clone(&shared),
-        hub: LinkHub::new(hello, sender),
+        hub: Arc::clone(&hub),
         events,
         requests,
         seeds,
+        relay_calls,
+        relays: RelayLinks::default(),
         links: BTreeMap::new(),
         leader: None,
         view_term: 0,
@@ -195,13 +266,20 @@
         sent_usage: UsageSums::default(),
     };
     tokio::spawn(entry.run());
-    (shared, seed_sender)
+    EntryHandle {
+        shared,
+        seeds: seed_sender,
+        hub,
+    }
 }
 
 impl<D: TargetDialect> EntryLoop<D> {
     async fn run(mut self) {
         let mut report = interval(REPORT_INTERVAL);
         report.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut relay_tick = interval(RELAY_INTERVAL);
+        relay_tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let reach = Arc::clone(self.shared.forwarder.reach());
         self.update_peers();
         loop {
             tokio::select! {
@@ -217,17 +295,32 @@
                     self.directory.set_seeds(seeds);
                     self.update_peers();
                 }
+                Some(call) = self.relay_calls.recv() => self.relay(call),
+                () = reach.wait_lost(), if !self.relays.is_active() => self.activate_relays(),
+                _ = relay_tick.tick(), if self.relays.is_active() => self.maintain_relays(),
                 _ = report.tick() => self.report(),
             }
         }
     }
 
     fn update_peers(&self) {
-        self.hub.set_peers(self.directory.peers(now()));
+        let keepers = self.directory.peers(now());
+        self.hub
+            .set_peers(keepers.into_iter().chain(self.relays.peers()));
     }
 
     fn on_event(&mut self, event: LinkEvent) {
         match event {
+            LinkEvent::Up {
+                link,
+                hello,
+                dialled,
+            } if hello.node.is_none() => {
+                if dialled {
+                    spdlog::info!("relay: helper linked", kv: { peer = hello.name.as_str() });
+                    self.relays.add(link);
+                }
+            }
             LinkEvent::Up { link, hello, .. } => {
                 if let Some(cluster) = hello.cluster {
                     self.hub
@@ -239,6 +332,7 @@
                 self.send_usage(link);
             }
             LinkEvent::Down(link) => {
+                self.relays.remove(link);
                 self.links.remove(&link);
                 if self.leader.is_some_and(|(_, it)| it == link) {
                     self.clear_leader();
@@ -264,6 +358,13 @@
                 self.directory.hear_members(members);
                 self.update_peers();
             }
+            LinkFrame::Helpers(helpers) => {
+                self.relays.set_helpers(helpers);
+                self.update_peers();
+            }
+            LinkFrame::Relay { id, request } => self.serve_relayed(link, id, *request),
+            LinkFrame::RelayReply { id, reply } => self.relays.answer(now(), link, id, reply),
+            LinkFrame::CancelRelay(id) => self.relays.cancel(link, id),
             LinkFrame::Hello(_)
             | LinkFrame::Consensus(_)
             | LinkFrame::Call { .. }
@@ -272,6 +373,45 @@
         }
     }
 
+    /// Serves a request of another entry in a task of its own.
+    fn serve_relayed(&mut self, link: LinkId, id: u64, request: RelayRequest) {
+        let (shared, hub) = (Arc::clone(&self.shared), Arc::clone(&self.hub));
+        let task = tokio::spawn(async move {
+            let reply = shared.serve_relayed(request).await;
+            hub.send(link, &LinkFrame::RelayReply { id, reply });
+        });
+        self.relays.begin_serving(link, id, task.abort_handle());
+    }
+
+    /// Sends a request of this entry through another one.
+    fn relay(&mut self, call: RelayCall) {
+        self.activate_relays();
+        self.relays.send(now(), &self.hub, call);
+    }
+
+    fn activate_relays(&mut self) {
+        if self.relays.activate(now()) {
+            self.update_peers();
+        }
+    }
+
+    /// Cancels abandoned requests, probes targets while the path to them is lost, and closes the links
+    /// to helpers once they are no longer needed.
+    fn maintain_relays(&mut self) {
+        self.relays.cancel_abandoned(&self.hub);
+        if self.shared.forwarder.reach().is_lost() {
+            let shared = Arc::clone(&self.shared);
+            tokio::spawn(async move { shared.forwarder.probe_targets().await });
+            return;
+        }
+        if let Some(links) = self.relays.deactivate(now()) {
+            self.update_peers();
+            for link in links {
+                self.hub.close(link);
+            }
+        }
+    }
+
     fn on_hint(&mut self, link: LinkId, hint: LeadHint) {
         let known_term = self.leader.map(|(term, _)| term);
         if hint.leads && known_term.is_none_or(|term| term < hint.term) {
--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -11,15 +11,20 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use futures_util::future::Either;
+use futures_util::future::join_all;
 use futures_util::stream::FuturesUnordered;
 use tokio::time::sleep;
 
 use self::attempt::ChosenTarget;
 use self::attempt::TryOutcome;
 use self::progress::ForwardProgress;
+use self::progress::RelayStage;
 use crate::choice::ChoiceQuery;
 use crate::choice::TargetChooser;
 use crate::dialect::TargetDialect;
@@ -32,6 +37,8 @@
 use crate::plain::PlainRequest;
 use crate::plan::RouteRule;
 use crate::pool::TargetPool;
+use crate::reach::ReachWatch;
+use crate::relay::RelayClient;
 use crate::software::SoftwareBuild;
 use crate::streams::ResumeRefusal;
 use crate::streams::StreamClient;
@@ -55,6 +62,9 @@
 /// Shortest time left before the deadline for which a further try is made, in milliseconds.
 const MIN_TRY_MS: u64 = 20;
 
+/// Number of targets to which a connection is tried to learn whether the path to them is back.
+const PROBED_TARGETS: usize = 2;
+
 /// Divisor of the latency target that yields the longest wait for a permit.
 const PERMIT_WAIT_DIVISOR: u64 = 2;
 
@@ -73,6 +83,10 @@
     permits: PermitClient,
     suspects: SuspectWatch,
     streams: StreamClient,
+    reach: Arc<ReachWatch>,
+    /// Way through other entries; `None` at a keeper.
+    relay: Option<RelayClient>,
+    probes: AtomicUsize,
     chooser: Mutex<TargetChooser>,
     usage: Mutex<UsageSums>,
     window_ms: u64,
@@ -98,12 +112,40 @@
             permits: PermitClient::new(leader.clone()),
             streams: StreamClient::new(leader.clone()),
             suspects: SuspectWatch::new(leader),
+            reach: Arc::default(),
+            relay: None,
+            probes: AtomicUsize::new(0),
             chooser: Mutex::new(TargetChooser::new(instance, zone)),
             usage: Mutex::default(),
             window_ms,
         }
     }
 
+    /// Returns this forwarder with a way through other entries, for when targets can't be reached.
+    pub fn with_relay(self, relay: RelayClient) -> Self {
+        Self {
+            relay: Some(relay),
+            ..self
+        }
+    }
+
+    /// Returns what this instance knows of its path to the targets.
+    pub fn reach(&self) -> &Arc<ReachWatch> {
+        &self.reach
+    }
+
+    /// Opens connections to a few targets, to learn whether the path to them is back.
+    pub async fn probe_targets(&self) {
+        let round = self.probes.fetch_add(1, Ordering::Relaxed);
+        let addresses = self.chooser().sample(round, PROBED_TARGETS);
+        // What is silent now may stay so after the path is back.
+        self.pool.clear();
+        let probes = addresses.into_iter().map(|it| self.pool.warm_up(it));
+        if join_all(probes).await.contains(&true) {
+            self.reach.record_success();
+        }
+    }
+
     /// Locks and returns the chooser, to update its targets.
     pub fn chooser(&self) -> MutexGuard<'_, TargetChooser> {
         lock(&self.chooser)
@@ -145,15 +187,36 @@
 
     /// Forwards a request until it is answered or given up. A request that may have run counts as
     /// usage of its customer.
+    ///
+    /// If the path to the targets is lost, another entry forwards the request and counts its usage.
     pub async fn forward(&self, request: &PlainRequest) -> ForwardReport {
+        let progress = ForwardProgress::new(request);
+        self.forward_from(request, progress).await
+    }
+
+    /// Forwards a request of another entry, which is not relayed again.
+    pub async fn forward_relayed(&self, request: &PlainRequest) -> ForwardReport {
+        let mut progress = ForwardProgress::new(request);
+        progress.relay = RelayStage::Done;
+        self.forward_from(request, progress).await
+    }
+
+    async fn forward_from(
+        &self,
+        request: &PlainRequest,
+        mut progress: ForwardProgress,
+    ) -> ForwardReport {
         let started_ms = unix_ms();
         let suspect = self.suspects.find(request);
         if let Some(left_ms) = suspect.and_then(|it| self.quarantine_left_ms(it)) {
             return self.refuse_quarantined(request, left_ms);
         }
-        let mut progress = ForwardProgress::new(request, suspect);
+        progress.set_suspect(suspect);
         let outcome = self.try_targets(request, &mut progress).await;
-        let outcome = self.record_stream(request, outcome).await;
+        let outcome = match progress.relay {
+            RelayStage::NotTried => self.record_stream(request, outcome).await,
+            RelayStage::Running | RelayStage::Done => outcome,
+        };
         if progress.may_have_run
             && let Some(customer) = &request.customer
         {
@@ -211,7 +274,10 @@
         let mut running = FuturesUnordered::new();
         loop {
             let left_ms = request.limit.since(now());
-            if left_ms >= MIN_TRY_MS && self.may_try(progress, running.len()) {
+            if left_ms >= MIN_TRY_MS && self.wants_relay(progress, running.len()) {
+                progress.relay = RelayStage::Running;
+                running.push(Either::Right(self.try_relay(request)));
+            } else if left_ms >= MIN_TRY_MS && self.may_try(progress, running.len()) {
                 let with_limited = running.is_empty();
                 match self
                     .next_target(request, &progress.tried, with_limited)
@@ -220,10 +286,15 @@
                     NextTarget::Chosen(target) => {
                         progress.record_start(&target.entry);
                         let left_ms = request.limit.since(now());
-                        running.push(self.try_target(request, *target, left_ms));
+                        running.push(Either::Left(self.try_target(request, *target, left_ms)));
                     }
                     NextTarget::Limited(wait_ms) => progress.free_in_ms = Some(wait_ms),
-                    NextTarget::None => {}
+                    NextTarget::None => {
+                        progress.record_no_target();
+                        if self.wants_relay(progress, running.len()) {
+                            continue;
+                        }
+                    }
                 }
             }
             if running.is_empty() {
@@ -233,9 +304,11 @@
                 true => left_ms.min(hedge_ms),
                 false => left_ms,
             };
+            let may_relay = left_ms >= MIN_TRY_MS && self.may_relay(progress, running.len());
             let end = tokio::select! {
                 end = running.next() => end,
                 () = sleep(Duration::from_millis(wait_ms)) => None,
+                () = self.reach.wait_lost(), if may_relay => None,
             };
             let Some(end) = end else {
                 if request.limit.since(now()) == 0 {
@@ -244,6 +317,9 @@
                 }
                 continue;
             };
+            if let TryOutcome::Relayed(outcome) = end {
+                return progress.relayed(outcome, !running.is_empty());
+            }
             if matches!(end, TryOutcome::Crashed) {
                 progress.suspect = self.suspects.find(request);
             }
@@ -256,8 +332,43 @@
         }
     }
 
+    /// Returns whether a request may be relayed beside `running` tries, if there is a reason.
+    fn may_relay(&self, progress: &ForwardProgress, running: usize) -> bool {
+        self.relay.is_some() && progress.may_relay(running)
+    }
+
+    /// Returns whether a request is to be relayed now beside `running` tries.
+    fn wants_relay(&self, progress: &ForwardProgress, running: usize) -> bool {
+        let has_reason = self.reach.is_lost() || progress.has_no_path();
+        has_reason && self.may_relay(progress, running)
+    }
+
+    /// Sends a request through another entry.
+    async fn try_relay(&self, request: &PlainRequest) -> TryOutcome {
+        let started = now();
+        let outcome = match &self.relay {
+            Some(relay) => relay.send(request).await,
+            None => None,
+        };
+        let label = match &outcome {
+            Some(_) => "sent",
+            None => "no helper",
+        };
+        METRICS.relays.with_label_values(&[label]).inc();
+        spdlog::info!("request: relayed", kv: {
+            request = request.id.as_str(),
+            outcome = label,
+            path_lost = self.reach.is_lost(),
+            took_ms = now().since(started),
+        });
+        outcome.map_or(TryOutcome::NoHelper, TryOutcome::Relayed)
+    }
+
     /// Returns whether another try may be made beside `running` ones.
     fn may_try(&self, progress: &ForwardProgress, running: usize) -> bool {
+        if progress.relay == RelayStage::Running {
+            return false;
+        }
         let suspect = progress.suspect;
         let is_quarantined = suspect.is_some_and(|it| self.quarantine_left_ms(it).is_some());
         progress.may_try(running) && !is_quarantined
--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -19,6 +19,7 @@
 use crate::dialect::TargetDialect;
 use crate::metrics::METRICS;
 use crate::plain::PlainAnswer;
+use crate::plain::PlainOutcome;
 use crate::plain::PlainRequest;
 use crate::plan::RouteKind;
 use crate::pool::SendError;
@@ -31,6 +32,9 @@
 /// Largest body of an answer, in bytes; the complete body is buffered.
 const MAX_ANSWER_BYTES: usize = 16 * 1024 * 1024;
 
+/// Time without an answer of any target after which it is checked whether a target can be reached.
+const SILENCE_LIMIT: Duration = Duration::from_millis(300);
+
 /// Outcome of one try at a target.
 pub(super) enum TryOutcome {
     Answered(PlainAnswer),
@@ -44,6 +48,10 @@
     Failed,
     /// The target crashed while the request may have run.
     Crashed,
+    /// Another entry forwarded the request.
+    Relayed(PlainOutcome),
+    /// No other entry took the request.
+    NoHelper,
 }
 
 /// Returns the outcome's metric label.
@@ -54,6 +62,8 @@
         TryOutcome::Unsent => "not sent",
         TryOutcome::Broken | TryOutcome::Failed => "failed",
         TryOutcome::Crashed => "crashed",
+        TryOutcome::Relayed(_) => "relayed",
+        TryOutcome::NoHelper => "no helper",
     }
 }
 
@@ -115,6 +125,7 @@
     ) -> TryOutcome {
         let started = now();
         let sent = self.send(request, &target.entry, left_ms);
+        let sent = self.watch_silence(&target.entry.announcement, sent);
         let limit = Duration::from_millis(left_ms);
         let mut end = match timeout(limit, sent).boxed().await {
             Ok(end) => end,
@@ -129,7 +140,7 @@
             TryOutcome::Answered(answer) => {
                 target.record(started, !answer.status.is_server_error())
             }
-            TryOutcome::NotRun => {}
+            TryOutcome::NotRun | TryOutcome::Relayed(_) | TryOutcome::NoHelper => {}
             TryOutcome::Unsent | TryOutcome::Broken | TryOutcome::Failed | TryOutcome::Crashed => {
                 target.record(started, false);
             }
@@ -178,9 +189,13 @@
             .send(target.announcement.address, message, may_repeat);
         let (response, connection) = match sent.await {
             Ok(answer) => answer,
-            Err(SendError::Connect) => return TryOutcome::Unsent,
+            Err(SendError::Connect) => {
+                self.record_unreachable(&target.announcement);
+                return TryOutcome::Unsent;
+            }
             Err(SendError::Gone | SendError::Broken(_)) => return TryOutcome::Broken,
         };
+        self.reach.record_success();
         let (head, body) = response.into_parts();
         let metadata = self.dialect.read_metadata(&head.headers);
         // An answer without the request's ID may be a late copy of an earlier one.
@@ -217,6 +232,39 @@
         })
     }
 
+    fn record_unreachable(&self, target: &TargetAnnouncement) {
+        let known = self.chooser().target_count();
+        self.reach.record_failure(now(), &target.id, known);
+    }
+
+    /// Waits for the end of a try. If it takes long, finds out by a new connection whether the target
+    /// can be reached at all.
+    async fn watch_silence<F: Future<Output = TryOutcome>>(
+        &self,
+        target: &TargetAnnouncement,
+        sent: F,
+    ) -> TryOutcome {
+        let mut sent = std::pin::pin!(sent);
+        let answers = self.reach.answer_count();
+        if let Ok(end) = timeout(SILENCE_LIMIT, sent.as_mut()).await {
+            return end;
+        }
+        if self.relay.is_none() || self.reach.answer_count() != answers {
+            return sent.await;
+        }
+        let check = async {
+            match self.pool.warm_up(target.address).await {
+                true => self.reach.record_success(),
+                false => self.record_unreachable(target),
+            }
+            std::future::pending().await
+        };
+        tokio::select! {
+            end = sent => end,
+            end = check => end,
+        }
+    }
+
     /// Returns how a try ended whose connection broke, and records it if the target crashed.
     async fn classify_break(
         &self,
--- a/crates/service/src/forward/progress.rs
+++ b/crates/service/src/forward/progress.rs
@@ -15,6 +15,18 @@
 /// ones do.
 const MAX_REJECTIONS: usize = 6;
 
+/// Number of targets to which a request could not connect after which it is relayed.
+const MIN_UNREACHABLE: u32 = 2;
+
+/// Whether a request was sent through another entry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum RelayStage {
+    NotTried,
+    Running,
+    /// A request is relayed at most once.
+    Done,
+}
+
 /// State of a request while it is forwarded.
 pub(super) struct ForwardProgress {
     is_idempotent: bool,
@@ -32,26 +44,43 @@
     pub(super) may_have_run: bool,
     /// Number of answers with status 500.
     pub(super) server_errors: u32,
+    pub(super) relay: RelayStage,
+    /// Number of targets to which no connection could be made.
+    unreachable: u32,
 }
 
 impl ForwardProgress {
-    /// Returns the state of a request before its first try. A request under which a target crashed
-    /// earlier gets one attempt alone.
-    pub(super) fn new(request: &PlainRequest, suspect: Option<RequestDigest>) -> Self {
+    /// Returns the state of a request before its first try.
+    pub(super) fn new(request: &PlainRequest) -> Self {
         Self {
             is_idempotent: request.kind == RouteKind::Safe,
-            max_attempts: match suspect {
-                Some(_) => 1,
-                None => request.max_attempts,
-            },
+            max_attempts: request.max_attempts,
             attempts: 0,
             rejections: 0,
             failed: None,
             tried: Vec::new(),
             free_in_ms: None,
-            suspect,
+            suspect: None,
             may_have_run: false,
             server_errors: 0,
+            relay: RelayStage::NotTried,
+            unreachable: 0,
+        }
+    }
+
+    /// Sets the digest of a request under which a target crashed; it gets one attempt alone.
+    pub(super) fn set_suspect(&mut self, suspect: Option<RequestDigest>) {
+        self.suspect = suspect;
+        if suspect.is_some() {
+            self.max_attempts = 1;
+        }
+    }
+
+    /// Records that there is no target to try any more. If one could not be reached, this is a reason to
+    /// relay the request.
+    pub(super) fn record_no_target(&mut self) {
+        if self.unreachable > 0 {
+            self.unreachable = MIN_UNREACHABLE;
         }
     }
 
@@ -63,6 +92,19 @@
         has_attempt && may_repeat && (self.suspect.is_none() || running == 0)
     }
 
+    /// Returns whether the request may be relayed beside `running` tries.
+    pub(super) fn may_relay(&self, running: usize) -> bool {
+        let is_alone = self.suspect.is_none() || running == 0;
+        let may_repeat = self.is_idempotent || (self.attempts == 0 && self.failed.is_none());
+        self.relay == RelayStage::NotTried && may_repeat && is_alone
+    }
+
+    /// Returns whether enough targets could not be reached for the request to be relayed, although the
+    /// instance has reached others.
+    pub(super) fn has_no_path(&self) -> bool {
+        self.unreachable >= MIN_UNREACHABLE
+    }
+
     /// Returns whether another try is made if the `running` ones take long.
     pub(super) fn can_hedge(&self, running: usize) -> bool {
         let has_attempt = self.attempts < self.max_attempts;
@@ -91,7 +133,9 @@
             TryOutcome::Broken | TryOutcome::Failed | TryOutcome::Crashed => {
                 self.failed = self.failed.take().or(Some(None));
             }
+            TryOutcome::Relayed(_) | TryOutcome::NoHelper => self.relay = RelayStage::Done,
             TryOutcome::NotRun | TryOutcome::Unsent => {
+                self.unreachable += u32::from(matches!(end, TryOutcome::Unsent));
                 self.rejections += 1;
                 if self.rejections < MAX_REJECTIONS {
                     self.attempts -= 1;
@@ -101,6 +145,20 @@
         None
     }
 
+    /// Returns the outcome of a request that another entry forwarded. `is_running` is set if a try at a
+    /// target may still run, so that nobody can say that the request did not.
+    pub(super) fn relayed(&self, outcome: PlainOutcome, is_running: bool) -> PlainOutcome {
+        let may_run = is_running || self.failed.is_some();
+        match outcome {
+            PlainOutcome::NotRun | PlainOutcome::Limited(_) | PlainOutcome::Quarantined(_)
+                if may_run =>
+            {
+                PlainOutcome::Failed
+            }
+            outcome => outcome,
+        }
+    }
+
     /// Returns the outcome of a request for which no further try is made; `is_late` is set if its
     /// deadline is why.
     pub(super) fn give_up(&mut self, is_late: bool) -> PlainOutcome {
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -12,6 +12,8 @@
 use crate::plan::RoutingPlan;
 use crate::registry::TargetAnnouncement;
 use crate::registry::TargetView;
+use crate::relay::RelayReply;
+use crate::relay::RelayRequest;
 use crate::software::SoftwareBuild;
 use crate::state::StateCommand;
 use crate::streams::StreamKey;
@@ -39,6 +41,9 @@
     pub control: Option<SocketAddr>,
     /// Whether this keeper may bootstrap the consensus group, together with the other seeds.
     pub founds: bool,
+    /// Address at which an entry accepts requests of other entries.
+    #[serde(default)]
+    pub relay: Option<SocketAddr>,
     /// Link addresses of the keepers to link to first.
     pub keepers: BTreeSet<SocketAddr>,
 }
@@ -250,6 +255,24 @@
         /// Sums of its recent windows; they replace earlier ones of the same process.
         sums: UsageSums,
     },
+    /// Addresses of entries through which the receiver, an entry too, may send requests.
+    Helpers(BTreeSet<SocketAddr>),
+    /// Request of another entry, which has no path to the targets.
+    Relay {
+        /// ID of the request on this link, echoed in the reply.
+        id: u64,
+        /// The request.
+        request: Box<RelayRequest>,
+    },
+    /// Reply to a relayed request.
+    RelayReply {
+        /// ID of the request on this link.
+        id: u64,
+        /// What became of it.
+        reply: RelayReply,
+    },
+    /// Cancels the relayed request with this ID; nobody waits for the reply.
+    CancelRelay(u64),
     /// Text that runs have generated since the last such frame, from the leader to the other
     /// voters.
     Texts(Vec<TextDelta>),
--- a/crates/service/src/keeper/dispatch.rs
+++ b/crates/service/src/keeper/dispatch.rs
@@ -64,7 +64,11 @@
                 self.directory.hear_members(members);
                 self.update_peers();
             }
-            LinkFrame::Hello(_) => {}
+            LinkFrame::Hello(_)
+            | LinkFrame::Helpers(_)
+            | LinkFrame::Relay { .. }
+            | LinkFrame::RelayReply { .. }
+            | LinkFrame::CancelRelay(_) => {}
         }
     }
 
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -9,6 +9,7 @@
 
 use super::core::CallOrigin;
 use super::core::KeeperCore;
+use super::helpers::SentHelpers;
 use super::scoring::RewardHandle;
 use super::targets::by_id;
 use super::view::ViewChanges;
@@ -103,6 +104,8 @@
     pub(super) waiters: Vec<ResultWaiter>,
     /// Parts of the view that changed since it was last sent.
     pub(super) changes: ViewChanges,
+    /// Helpers that entries were told of.
+    pub(super) helpers: SentHelpers,
     /// Services whose targets entries were sent.
     pub(super) sent_services: BTreeSet<String>,
     /// Number of the next usage window to close.
@@ -148,6 +151,7 @@
             results: Vec::new(),
             waiters: Vec::new(),
             changes: ViewChanges::default(),
+            helpers: SentHelpers::default(),
             sent_services: BTreeSet::new(),
             next_window: closed.unwrap_or(window),
             reporting: None,
@@ -254,6 +258,7 @@
             self.run_duties(time);
             self.update_rates(time);
             self.expire_suspects(time);
+            self.update_helpers(time);
         }
         self.expire_items(time);
         self.assign_items(time);
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -10,6 +10,7 @@
 mod dispatch;
 mod duties;
 mod effects;
+mod helpers;
 mod lead;
 mod limits;
 mod memory;
@@ -190,6 +191,7 @@
         zone: settings.zone.clone(),
         address: Some(settings.link),
         control: Some(settings.control),
+        relay: None,
         founds: settings.may_bootstrap && settings.seeds.contains(&settings.link),
         keepers: settings.seeds.clone(),
     };
--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -193,6 +193,11 @@
         }
     }
 
+    /// Ends a link. Unless its address is still one of the peers, it is not made again.
+    pub fn close(&self, link: LinkId) {
+        self.state().links.remove(&link);
+    }
+
     /// Returns the number of links, and the size of all frames that wait on them, in bytes.
     pub fn load(&self) -> (usize, usize) {
         let state = self.state();
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -42,6 +42,9 @@
     pub quarantined: IntCounter,
     /// Number of streams that callers may take up, by what became of their record.
     pub streams: IntCounterVec,
+    /// Number of requests relayed by entries: sent through another one, served for another one, or
+    /// without a helper.
+    pub relays: IntCounterVec,
     /// Number of runs of items, by outcome.
     pub runs: IntCounterVec,
     /// Number of reward calls, by outcome.
@@ -125,6 +128,7 @@
             target_crashes: counter("target_crashes_total", "Targets crashed under requests."),
             quarantined: counter("quarantined_total", "Requests refused in quarantine."),
             streams: counters("streams_total", "Resumable streams.", "outcome"),
+            relays: counters("relays_total", "Requests relayed by entries.", "outcome"),
             runs: counters("item_runs_total", "Runs of items.", "outcome"),
             reward_calls: counters("reward_calls_total", "Reward calls.", "outcome"),
             score_seconds: register(&registry, scoring),
--- a/crates/service/src/pool.rs
+++ b/crates/service/src/pool.rs
@@ -26,8 +26,9 @@
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
 
-/// Time limit for opening a connection.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// Time limit for opening a connection. Waiting for the retransmission of a lost packet, after a
+/// second, gains nothing.
+const CONNECT_LIMIT: Duration = Duration::from_millis(200);
 
 /// Time limit for the check whether a target still listens.
 const PROBE_LIMIT: Duration = Duration::from_millis(150);
@@ -44,6 +45,9 @@
 /// Idle limit of a connection if the target's answer states none, in milliseconds.
 const DEFAULT_IDLE_MS: u64 = 8_000;
 
+/// Time for which a connection without an answer so far is kept, in milliseconds.
+const WARM_UP_MS: u64 = 1_000;
+
 /// Time before the target's own idle limit at which a connection is dropped, in milliseconds; it
 /// keeps requests off connections that the target is about to close.
 const IDLE_MARGIN_MS: u64 = 700;
@@ -124,6 +128,14 @@
         })
     }
 
+    /// Drops all idle connections.
+    pub fn clear(&self) {
+        self.idle
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .clear();
+    }
+
     /// Drops connections that are closed or past their idle limit.
     pub fn prune(&self) {
         let time = now();
@@ -213,6 +225,23 @@
         Ok(self.activate(address, sender, response))
     }
 
+    /// Opens a connection to an address and keeps it for a later request. Returns whether that
+    /// succeeded.
+    pub async fn warm_up(&self, address: SocketAddr) -> bool {
+        let Ok(sender) = self.connect(address).await else {
+            return false;
+        };
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let connections = idle.entry(address).or_default();
+        if connections.len() < MAX_IDLE_CONNECTIONS {
+            connections.push(IdleConnection {
+                sender,
+                until: now() + WARM_UP_MS,
+            });
+        }
+        true
+    }
+
     /// Returns whether no process listens at an address any more. An address that doesn't answer at
     /// all counts as in use.
     pub async fn is_abandoned(&self, address: SocketAddr) -> bool {
--- a/crates/service/tests/link.rs
+++ b/crates/service/tests/link.rs
@@ -37,6 +37,7 @@
         zone: "a".to_owned(),
         address: None,
         control: None,
+        relay: None,
         founds: false,
         keepers: BTreeSet::new(),
     }
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -3,5 +3,6 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod forward;
+mod relay;
 mod run;
 mod support;
--- /dev/null
+++ b/crates/service/tests/targets/relay.rs
@@ -0,0 +1,387 @@
+//! Entries without a path to the targets: their requests go through other entries, with all limits
+//! in force there. The leader is simulated; each entry is told addresses of its own for the targets.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::future::join_all;
+use http::HeaderMap;
+use http::Method;
+use rstest::rstest;
+use socket2::Domain;
+use socket2::Socket;
+use socket2::Type;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
+
+use crate::support::StubBehaviour;
+use crate::support::StubTarget;
+use crate::support::TestDialect;
+use crate::support::view;
+use bergamotlane_service::entry::EntryHandle;
+use bergamotlane_service::entry::EntrySettings;
+use bergamotlane_service::entry::start_entry;
+use bergamotlane_service::frames::HelloFrame;
+use bergamotlane_service::frames::LeadHint;
+use bergamotlane_service::frames::LinkFrame;
+use bergamotlane_service::frames::ViewFrame;
+use bergamotlane_service::link::LinkEvent;
+use bergamotlane_service::link::LinkHub;
+use bergamotlane_service::link::LinkId;
+use bergamotlane_service::plain::PlainOutcome;
+use bergamotlane_service::plain::PlainRequest;
+use bergamotlane_service::plan::RouteKind;
+use bergamotlane_service::plan::RoutingPlan;
+use bergamotlane_service::plan::ServiceSpec;
+use bergamotlane_service::registry::TargetStage;
+use bergamotlane_service::registry::TargetView;
+use bergamotlane_storage::clock::now;
+
+/// Time after which a condition that does not come true fails the test.
+const TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Number of targets of the service.
+const TARGET_COUNT: usize = 3;
+
+/// Time limit of a request, in milliseconds.
+const LIMIT_MS: u64 = 1_500;
+
+/// How an entry's connections to its targets fail.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum PathFault {
+    /// New connections are refused.
+    Refused,
+    /// New connections get no answer.
+    Silent,
+}
+
+/// Address to which no connection can be made, with the sockets that keep it so.
+struct DeadAddress {
+    address: SocketAddr,
+    _sockets: Vec<Socket>,
+}
+
+impl DeadAddress {
+    async fn new(fault: PathFault) -> Self {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        socket.bind(&any.into()).unwrap();
+        let address = socket.local_addr().unwrap().as_socket().unwrap();
+        let mut sockets = Vec::new();
+        if fault == PathFault::Silent {
+            // Connections that nobody accepts fill the queue; later ones get no answer.
+            socket.listen(0).unwrap();
+            for _ in 0..4 {
+                let filler = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+                filler.set_nonblocking(true).unwrap();
+                filler.connect(&address.into()).ok();
+                sockets.push(filler);
+            }
+            let probe = TcpStream::connect(address);
+            assert!(timeout(Duration::from_millis(300), probe).await.is_err());
+        }
+        sockets.push(socket);
+        Self {
+            address,
+            _sockets: sockets,
+        }
+    }
+}
+
+/// A started entry and its link at the leader.
+struct TestEntry {
+    handle: EntryHandle<TestDialect>,
+    link: LinkId,
+    relay: SocketAddr,
+}
+
+/// Simulated leader with entries.
+struct TestGroup {
+    hub: Arc<LinkHub>,
+    entries: Vec<TestEntry>,
+}
+
+fn hello(name: &str, address: SocketAddr) -> HelloFrame {
+    HelloFrame {
+        run: rand::random(),
+        cluster: None,
+        node: Some(1),
+        name: name.to_owned(),
+        zone: "a".to_owned(),
+        address: Some(address),
+        control: None,
+        relay: None,
+        founds: false,
+        keepers: BTreeSet::new(),
+    }
+}
+
+fn plan() -> RoutingPlan {
+    RoutingPlan {
+        version: 1,
+        services: vec![ServiceSpec {
+            name: "desk".to_owned(),
+            max_connections: 100,
+            cold_per_s: 0.0,
+            models: Vec::new(),
+            scale: None,
+        }],
+        ..RoutingPlan::default()
+    }
+}
+
+/// Returns views of the targets, all at one address.
+fn targets_at(address: SocketAddr) -> Vec<TargetView> {
+    (0..TARGET_COUNT)
+        .map(|index| view(&format!("t{index}"), address))
+        .collect()
+}
+
+impl TestGroup {
+    /// Starts as many entries as there are lists of targets, and tells each its targets and helpers.
+    async fn start(targets: Vec<Vec<TargetView>>) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let (sender, mut events) = mpsc::unbounded_channel();
+        let hub = LinkHub::new(hello("leader", address), sender);
+        tokio::spawn(Arc::clone(&hub).listen(listener));
+        let mut entries = Vec::new();
+        for index in 0..targets.len() {
+            let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+            let relay = listener.local_addr().unwrap();
+            let settings = EntrySettings {
+                name: format!("entry-{index}"),
+                zone: "a".to_owned(),
+                seeds: BTreeSet::from([address]),
+                relay: Some(relay),
+                usage_window_ms: 60_000,
+            };
+            let handle = start_entry(settings, TestDialect);
+            tokio::spawn(Arc::clone(&handle.hub).listen(listener));
+            let link = loop {
+                match timeout(TIMEOUT, events.recv()).await.unwrap().unwrap() {
+                    LinkEvent::Up { link, .. } => break link,
+                    LinkEvent::Down(_) | LinkEvent::Frame(..) => {}
+                }
+            };
+            entries.push(TestEntry {
+                handle,
+                link,
+                relay,
+            });
+        }
+        tokio::spawn(async move { while events.recv().await.is_some() {} });
+        let group = Self { hub, entries };
+        group.hub.set_hint(LeadHint {
+            leads: true,
+            term: 1,
+        });
+        for (index, targets) in targets.into_iter().enumerate() {
+            group.send_targets(index, targets);
+            let others = group.entries.iter().enumerate();
+            let helpers = others.filter(|(other, _)| *other != index);
+            let helpers = helpers.map(|(_, it)| it.relay).collect();
+            group
+                .hub
+                .send(group.entries[index].link, &LinkFrame::Helpers(helpers));
+        }
+        for entry in &group.entries {
+            let shared = &entry.handle.shared;
+            assert!(shared.wait_for_routes(TIMEOUT).await.is_some());
+        }
+        sleep(Duration::from_millis(50)).await;
+        group
+    }
+
+    fn send_targets(&self, index: usize, targets: Vec<TargetView>) {
+        let view = ViewFrame {
+            term: 1,
+            plan: Some(plan()),
+            targets: Some(targets),
+            entries: self.entries.len() as u32,
+            ..ViewFrame::default()
+        };
+        self.hub
+            .send(self.entries[index].link, &LinkFrame::View(Box::new(view)));
+    }
+
+    async fn forward(&self, index: usize, kind: RouteKind) -> PlainOutcome {
+        let shared = &self.entries[index].handle.shared;
+        shared.forwarder.forward(&request(kind)).await.outcome
+    }
+}
+
+fn request(kind: RouteKind) -> PlainRequest {
+    PlainRequest {
+        id: "r1".to_owned(),
+        method: Method::POST,
+        path: "/l/1".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::from_static(b"question"),
+        customer: Some("mint".to_owned()),
+        service: "desk".to_owned(),
+        kind,
+        max_attempts: 2,
+        latency_target_ms: 150,
+        limit: now() + LIMIT_MS,
+        cold_pause_ms: None,
+        reserved_slots: None,
+        begins: None,
+        resumes: None,
+        sharers: 1,
+    }
+}
+
+fn is_answered(outcome: &PlainOutcome) -> bool {
+    matches!(outcome, PlainOutcome::Answered(answer) if answer.status.is_success())
+}
+
+/// Guards against callers of an entry that has lost its path to all targets, who are refused or wait in
+/// vain although other entries serve; the usage is counted once, where the request ran.
+#[rstest]
+#[case::refused(PathFault::Refused, RouteKind::Safe)]
+#[case::silent(PathFault::Silent, RouteKind::Safe)]
+#[case::refused_unrepeatable(PathFault::Refused, RouteKind::Unsafe)]
+#[case::silent_unrepeatable(PathFault::Silent, RouteKind::Unsafe)]
+#[tokio::test]
+async fn an_entry_without_a_path_serves_its_callers_through_others(
+    #[case] fault: PathFault,
+    #[case] kind: RouteKind,
+) {
+    let dead = DeadAddress::new(fault).await;
+    let stub = StubTarget::start(StubBehaviour::Healthy).await;
+    // The first two are cut off, so that a helper may be of no use either.
+    let targets = [dead.address, dead.address, stub.address].map(targets_at);
+    let group = TestGroup::start(targets.into()).await;
+    for _ in 0..10 {
+        let outcome = group.forward(0, kind).await;
+        assert!(is_answered(&outcome), "{outcome:?}");
+    }
+    assert_eq!(stub.count(), 10);
+    let counted = |index: usize| -> u64 {
+        let usage = group.entries[index].handle.shared.forwarder.usage();
+        usage.windows.values().flat_map(|it| it.values()).sum()
+    };
+    assert_eq!((counted(0), counted(2)), (0, 10));
+}
+
+/// Guards against a request that goes from entry to entry while none has a path, and against one that
+/// waits for its deadline then instead of being refused.
+#[tokio::test]
+async fn a_request_that_no_entry_can_serve_is_refused() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let targets = [dead.address; 3].map(targets_at);
+    let group = TestGroup::start(targets.into()).await;
+    for index in [0, 1, 2, 0, 1, 2] {
+        let outcome = group.forward(index, RouteKind::Unsafe).await;
+        assert!(matches!(outcome, PlainOutcome::NotRun), "{outcome:?}");
+    }
+}
+
+/// Guards against a detour around what an entry keeps for its own callers: draining targets, those of
+/// evacuated zones, and a service that the plan no longer has.
+#[rstest]
+#[case::draining(|it: &mut TargetView| it.stage = TargetStage::Draining)]
+#[case::other_service(|it: &mut TargetView| it.announcement.service = "llm".to_owned())]
+#[tokio::test]
+async fn a_helper_keeps_its_own_limits_for_the_requests_of_others(
+    #[case] change: fn(&mut TargetView),
+) {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let stub = StubTarget::start(StubBehaviour::Healthy).await;
+    let mut closed = targets_at(stub.address);
+    closed.iter_mut().for_each(change);
+    let group = TestGroup::start(vec![targets_at(dead.address), closed]).await;
+    for _ in 0..3 {
+        let outcome = group.forward(0, RouteKind::Safe).await;
+        assert!(!is_answered(&outcome), "{outcome:?}");
+    }
+    assert_eq!(stub.count(), 0);
+}
+
+/// Guards against a helper that the requests of others overload.
+#[tokio::test]
+async fn a_helper_takes_a_bounded_number_of_requests() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let stub = StubTarget::start(StubBehaviour::Slow(600)).await;
+    let targets = [dead.address, stub.address].map(targets_at);
+    let group = TestGroup::start(targets.into()).await;
+    let outcomes = join_all((0..100).map(|_| group.forward(0, RouteKind::Unsafe))).await;
+    let answered = outcomes.iter().filter(|it| is_answered(it)).count();
+    assert!(answered > 0 && answered <= 64, "{answered}");
+    assert!(stub.count() <= 64, "{}", stub.count());
+}
+
+/// Guards against an engine that works on although the caller at the other entry has left.
+#[tokio::test]
+async fn a_relayed_request_ends_when_its_caller_leaves() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let stub = StubTarget::start(StubBehaviour::Slow(60_000)).await;
+    let targets = [dead.address, stub.address].map(targets_at);
+    let group = TestGroup::start(targets.into()).await;
+    let leaving = timeout(
+        Duration::from_millis(700),
+        group.forward(0, RouteKind::Unsafe),
+    );
+    assert!(leaving.await.is_err());
+    assert_eq!(stub.count(), 1);
+    let helper = &group.entries[1].handle.shared;
+    let end = Instant::now() + TIMEOUT;
+    while helper.relayed() > 0 {
+        assert!(
+            Instant::now() < end,
+            "the helper still waits for the target"
+        );
+        sleep(Duration::from_millis(10)).await;
+    }
+}
+
+/// Guards against an entry that goes on to use helpers although its own path is back.
+#[tokio::test]
+async fn an_entry_uses_its_own_path_again_once_it_is_back() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let (own, other) = (
+        StubTarget::start(StubBehaviour::Healthy).await,
+        StubTarget::start(StubBehaviour::Healthy).await,
+    );
+    let targets = [dead.address, other.address].map(targets_at);
+    let group = TestGroup::start(targets.into()).await;
+    assert!(is_answered(&group.forward(0, RouteKind::Safe).await));
+    let reach = Arc::clone(group.entries[0].handle.shared.forwarder.reach());
+    assert!(reach.is_lost());
+    group.send_targets(0, targets_at(own.address));
+    let end = Instant::now() + TIMEOUT;
+    while reach.is_lost() {
+        assert!(Instant::now() < end, "the path still counts as lost");
+        sleep(Duration::from_millis(10)).await;
+    }
+    let known = other.count();
+    for _ in 0..10 {
+        assert!(is_answered(&group.forward(0, RouteKind::Safe).await));
+    }
+    assert_eq!((own.count(), other.count()), (10, known));
+}
+
+/// Guards against one target that is down for which requests go a longer way although others serve.
+#[tokio::test]
+async fn a_single_target_that_is_down_is_no_reason_to_use_helpers() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let (own, other) = (
+        StubTarget::start(StubBehaviour::Healthy).await,
+        StubTarget::start(StubBehaviour::Healthy).await,
+    );
+    let mut targets = targets_at(own.address);
+    targets[0].announcement.address = dead.address;
+    let group = TestGroup::start(vec![targets, targets_at(other.address)]).await;
+    for _ in 0..30 {
+        assert!(is_answered(&group.forward(0, RouteKind::Safe).await));
+    }
+    assert_eq!((own.count(), other.count()), (30, 0));
+}
