Send nothing more to a target that says in its answers that it leaves

An engine that leaves says so in all its answers (Server-Leaving: 1), and nobody read it: an entry that was cut off from the keepers went on sending to it for as long as it was cut, since it learned of leaving targets by the leader's view alone.

A mark is kept beside the view, so that no view, announcement or change of leader undoes it; a later start under the ID is free. A request that waited for a permit is checked again. The leader is told, commits it like an announced departure, and the mark is in every view.

--- a/crates/service/src/choice.rs
+++ b/crates/service/src/choice.rs
@@ -9,6 +9,9 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
+use crate::leaving::LeavingMarks;
+use crate::leaving::LeavingStart;
+use crate::registry::TargetAnnouncement;
 use crate::registry::TargetEntry;
 use crate::registry::TargetRegistry;
 use crate::registry::TargetStage;
@@ -124,6 +127,8 @@
     instance: String,
     registry: TargetRegistry,
     evacuated: Vec<String>,
+    /// Targets that told this instance that they leave; a view doesn't undo that.
+    leaving: LeavingMarks,
     loads: HashMap<String, TargetLoad>,
 }
 
@@ -162,6 +167,17 @@
         self.evacuated = zones;
     }
 
+    /// Records that a target said that it leaves: it gets no further request. Returns whether that is
+    /// news.
+    pub fn mark_leaving(&mut self, start: &LeavingStart) -> bool {
+        self.leaving.mark(start)
+    }
+
+    /// Returns whether a target has said that it leaves.
+    pub fn is_leaving(&self, target: &TargetAnnouncement) -> bool {
+        self.leaving.contains(&target.id, target.born)
+    }
+
     /// Returns the number of known targets.
     pub fn target_count(&self) -> usize {
         self.registry.iter().count()
@@ -191,6 +207,7 @@
         entries.filter(move |it| {
             it.announcement.service == service
                 && it.stage != TargetStage::Draining
+                && !self.is_leaving(&it.announcement)
                 && !self.evacuated.contains(&it.announcement.zone)
         })
     }
--- a/crates/service/src/dialect.rs
+++ b/crates/service/src/dialect.rs
@@ -37,6 +37,8 @@
     pub version: Option<u64>,
     /// Rate limit that the target advertises for all senders, if any.
     pub rate_limit: Option<RequestRate>,
+    /// Whether the target says that it is about to leave.
+    pub is_leaving: bool,
 }
 
 /// Leader that issues an order, with its fencing token.
--- a/crates/service/src/forward.rs
+++ b/crates/service/src/forward.rs
@@ -80,6 +80,7 @@
 pub struct Forwarder<D> {
     dialect: D,
     pool: Arc<TargetPool>,
+    leader: LeaderClient,
     permits: PermitClient,
     suspects: SuspectWatch,
     streams: StreamClient,
@@ -109,6 +110,7 @@
         Self {
             dialect,
             pool: TargetPool::new(),
+            leader: leader.clone(),
             permits: PermitClient::new(leader.clone()),
             streams: StreamClient::new(leader.clone()),
             suspects: SuspectWatch::new(leader),
@@ -318,6 +320,11 @@
                 continue;
             };
             if let TryOutcome::Relayed(outcome) = end {
+                if let PlainOutcome::Answered(answer) = &outcome
+                    && let Some(start) = &answer.leaving
+                {
+                    self.record_leaving(start);
+                }
                 return progress.relayed(outcome, !running.is_empty());
             }
             if matches!(end, TryOutcome::Crashed) {
@@ -413,6 +420,9 @@
             match permit.await {
                 PermitReply::Granted(wait_ms) => {
                     sleep(Duration::from_millis(wait_ms)).await;
+                    if self.chooser().is_leaving(&target.entry.announcement) {
+                        continue;
+                    }
                     return NextTarget::Chosen(Box::new(target));
                 }
                 PermitReply::Denied(wait_ms) => {
--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -17,6 +17,8 @@
 use crate::choice::TargetChooser;
 use crate::dialect::RequestMetadata;
 use crate::dialect::TargetDialect;
+use crate::frames::LeaderCall;
+use crate::leaving::LeavingStart;
 use crate::metrics::METRICS;
 use crate::plain::PlainAnswer;
 use crate::plain::PlainOutcome;
@@ -35,6 +37,9 @@
 /// Time without an answer of any target after which it is checked whether a target can be reached.
 const SILENCE_LIMIT: Duration = Duration::from_millis(300);
 
+/// Time limit for telling the leader that a target leaves, in milliseconds.
+const REPORT_LIMIT_MS: u64 = 30_000;
+
 /// Outcome of one try at a target.
 pub(super) enum TryOutcome {
     Answered(PlainAnswer),
@@ -203,6 +208,12 @@
             return TryOutcome::Failed;
         }
         self.record_limit(&target.announcement.id, metadata.rate_limit, sent_at);
+        let leaving = metadata
+            .is_leaving
+            .then(|| target.announcement.leaving_start());
+        if let Some(start) = &leaving {
+            self.record_leaving(start);
+        }
         let limited = http_body_util::Limited::new(body, MAX_ANSWER_BYTES);
         let Ok(body) = limited.collect().await else {
             return TryOutcome::Broken;
@@ -229,6 +240,7 @@
             headers: head.headers,
             body: body.to_bytes(),
             build: target.announcement.build().map(Box::new),
+            leaving: leaving.map(Box::new),
         })
     }
 
@@ -278,6 +290,22 @@
         TryOutcome::Crashed
     }
 
+    /// Records that a target says that it leaves, and tells the leader if that is news.
+    pub(super) fn record_leaving(&self, start: &LeavingStart) {
+        if !self.chooser().mark_leaving(start) {
+            return;
+        }
+        METRICS.leaving_marks.inc();
+        spdlog::info!("target: says that it leaves", kv: { target = start.id.as_str(), born = start.born });
+        let leader = self.leader.clone();
+        let call = LeaderCall::TargetLeaving(start.clone());
+        tokio::spawn(async move {
+            if leader.call(call, now() + REPORT_LIMIT_MS).await.is_err() {
+                spdlog::warn!("target: no leader heard that a target leaves");
+            }
+        });
+    }
+
     /// Records the limit that a target names in its answer, and tells the leader if that is news.
     fn record_limit(&self, target: &str, rate: Option<RequestRate>, sent_at: ClockTime) {
         if self.chooser().name_limit(now(), target, rate, sent_at) {
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -9,6 +9,7 @@
 
 use crate::directory::GroupMembers;
 use crate::jobs::ItemEnd;
+use crate::leaving::LeavingStart;
 use crate::plan::RoutingPlan;
 use crate::registry::TargetAnnouncement;
 use crate::registry::TargetView;
@@ -146,6 +147,8 @@
     },
     /// Record that the request with this digest was answered by a target.
     ClearSuspect([u8; 16]),
+    /// Record that a target said in an answer that it leaves; the reply follows once it is durable.
+    TargetLeaving(LeavingStart),
     /// Record which build begins a stream; the reply follows once it is durable.
     BeginStream {
         /// Identity of the stream.
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -10,6 +10,8 @@
 use crate::frames::LeaderReply;
 use crate::frames::ListedResult;
 use crate::jobs::JobRecord;
+use crate::leaving::LeavingStart;
+use crate::metrics::METRICS;
 use crate::registry::AnnouncementEffect;
 use crate::registry::TargetAnnouncement;
 use crate::software::SoftwareBuild;
@@ -95,6 +97,7 @@
                 self.name_limit(&target, rate.map(RequestRate), now() - age_ms);
                 self.reply(origin, LeaderReply::Done);
             }
+            LeaderCall::TargetLeaving(start) => self.mark_leaving(start, origin),
             LeaderCall::BeginStream { stream, build } => self.begin_stream(stream, build, origin),
             LeaderCall::FindStream(stream) => {
                 let reply = match self.state.streams.get(stream) {
@@ -176,7 +179,9 @@
         let draining = announcement.is_draining;
         let software = announcement.software.clone().unwrap_or_default();
         // An announcement that was under way when its target left must not bring it back.
-        let is_late = !draining && self.state.is_leaving(&id, born, false);
+        let is_leaving =
+            self.leaving.contains(&id, born) || self.state.is_leaving(&id, born, false);
+        let is_late = !draining && is_leaving;
         if has_service && !is_late {
             let effect = lead.registry.announce(now(), announcement);
             match effect {
@@ -209,6 +214,22 @@
         self.propose(&command, origin);
     }
 
+    /// Records that a target said in an answer that it leaves, and tells all processes at once.
+    pub(super) fn mark_leaving(&mut self, start: LeavingStart, origin: CallOrigin) {
+        let LeavingStart { id, born } = &start;
+        if self.leaving.mark(&start) {
+            spdlog::info!("target: says that it leaves", kv: { target = id.as_str(), born = *born });
+            METRICS.leaving_marks.inc();
+        }
+        let Some(lead) = &mut self.lead else {
+            self.reply(origin, LeaderReply::NotLeader);
+            return;
+        };
+        lead.registry.mark_leaving(now(), id, *born, false);
+        self.push_views();
+        self.confirm_leaving(start.id, start.born, false, origin);
+    }
+
     fn depart(&mut self, id: String, origin: CallOrigin) {
         let Some(lead) = &mut self.lead else {
             return;
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -26,6 +26,7 @@
 use crate::leader_client::LeaderClient;
 use crate::leader_client::PendingCalls;
 use crate::lease_watch::LeaseWatch;
+use crate::leaving::LeavingMarks;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::link::LinkId;
@@ -143,6 +144,8 @@
     pub(super) lead: Option<LeaderState>,
     /// Last known targets, which a new leader starts from.
     pub(super) last_targets: BTreeMap<String, TargetView>,
+    /// Targets that told this keeper, or told others while it led, that they leave.
+    pub(super) leaving: LeavingMarks,
     /// Term of the leader whose view was received last.
     pub(super) view_term: u64,
     /// Time at which the last known targets must be saved, if they changed.
@@ -239,6 +242,7 @@
             leader: None,
             lead: None,
             last_targets,
+            leaving: LeavingMarks::default(),
             view_term: 0,
             targets_due: None,
             tally: UsageTally::default(),
--- a/crates/service/src/keeper/dispatch.rs
+++ b/crates/service/src/keeper/dispatch.rs
@@ -108,6 +108,7 @@
                 rate,
                 sent_at,
             } => self.name_limit(&target, rate, sent_at),
+            KeeperEvent::TargetLeaving(start) => self.mark_leaving(start, CallOrigin::Leader),
             KeeperEvent::RewardEnded(key, end) => self.on_reward_ended(key, end),
             KeeperEvent::WeightsOrdered {
                 id,
--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::HeaderMap;
 use http::HeaderValue;
 use http::Request;
 use http::StatusCode;
@@ -53,6 +54,13 @@
 /// milliseconds.
 const TURN_RETRY_DELAY_MS: u64 = 100;
 
+/// Response to a duty's request.
+pub(super) struct DutyAnswer {
+    pub(super) status: StatusCode,
+    pub(super) headers: HeaderMap,
+    pub(super) body: Bytes,
+}
+
 /// Reason why a duty's request got no response.
 pub(super) enum DutyFailure {
     /// The request was not sent.
@@ -68,7 +76,7 @@
     lease: &LeaseWatch,
     address: SocketAddr,
     call: OutboundCall,
-) -> Result<(StatusCode, Bytes), DutyFailure> {
+) -> Result<DutyAnswer, DutyFailure> {
     let builder = match &call.body {
         Some(_) => Request::post(&call.path),
         None => Request::get(&call.path),
@@ -86,14 +94,19 @@
     }
     let exchange = async {
         let (response, connection) = pool.send(address, request, false).await?;
-        let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_DUTY_ANSWER_BYTES);
+        let (head, body) = response.into_parts();
+        let answer = |body| DutyAnswer {
+            status: head.status,
+            headers: head.headers,
+            body,
+        };
+        let body = Limited::new(body, MAX_DUTY_ANSWER_BYTES);
         // An answer that is too long or breaks off was still an answer: the duty was carried out.
         let Ok(body) = body.collect().await else {
-            return Ok((status, Bytes::new()));
+            return Ok(answer(Bytes::new()));
         };
         connection.keep();
-        Ok::<_, SendError>((status, body.to_bytes()))
+        Ok::<_, SendError>(answer(body.to_bytes()))
     };
     match timeout(DUTY_TIMEOUT, lease.guard(exchange)).await {
         Ok(Some(Ok(answer))) => Ok(answer),
@@ -169,8 +182,8 @@
         let (pool, lease) = (Arc::clone(&self.pool), self.lease.clone());
         self.runtime.spawn(async move {
             let result = send_duty(&pool, &lease, address, call).await;
-            let accepted = matches!(&result, Ok((status, _)) if status.is_success());
-            let status = result.map_or(0, |(status, _)| status.as_u16());
+            let accepted = matches!(&result, Ok(answer) if answer.status.is_success());
+            let status = result.map_or(0, |answer| answer.status.as_u16());
             spdlog::info!("usage: window reported", kv: { window, status, fence = holder.fence });
             // The control thread runs until the process exits.
             let event = KeeperEvent::UsageReported { window, accepted };
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -338,6 +338,9 @@
                 let departed = leaving.departed;
                 lead.registry.mark_leaving(time, id, leaving.born, departed);
             }
+            for (id, born) in self.leaving.iter() {
+                lead.registry.mark_leaving(time, id, born, false);
+            }
         }
     }
 
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -40,6 +40,7 @@
 use crate::dialect::TargetDialect;
 use crate::frames::HelloFrame;
 use crate::leader_client::LeaderClient;
+use crate::leaving::LeavingStart;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::scoring::ScoreEnd;
@@ -100,6 +101,8 @@
         /// Time at which the run started.
         sent_at: ClockTime,
     },
+    /// A target said in an answer to a run, an order or a query that it leaves.
+    TargetLeaving(LeavingStart),
     /// A reward call of an item was answered or failed.
     RewardEnded(ScoreKey, ScoreEnd),
     /// A weight order to an engine was answered or failed.
--- a/crates/service/src/keeper/orders.rs
+++ b/crates/service/src/keeper/orders.rs
@@ -3,11 +3,9 @@
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-use bytes::Bytes;
-use http::StatusCode;
-
 use super::KeeperEvent;
 use super::core::KeeperCore;
+use super::duties::DutyAnswer;
 use super::duties::DutyFailure;
 use super::duties::send_duty;
 use super::lead::LeaderState;
@@ -31,9 +29,9 @@
 const LOAD_ASSUMED_AFTER_MS: u64 = 910;
 
 /// Maps the response to a weight order, or its failure, to an [`OrderAnswer`].
-fn order_answer(result: &Result<(StatusCode, Bytes), DutyFailure>) -> OrderAnswer {
+fn order_answer(result: &Result<DutyAnswer, DutyFailure>) -> OrderAnswer {
     match result {
-        Ok((status, _)) => match status.as_u16() {
+        Ok(answer) => match answer.status.as_u16() {
             202 => OrderAnswer::Taken,
             200 => OrderAnswer::Holds,
             409 => OrderAnswer::Conflict,
@@ -149,14 +147,23 @@
         let service = entry.announcement.service.clone();
         let (pool, lease) = (Arc::clone(&self.pool), self.lease.clone());
         let (dialect, events) = (self.dialect.clone(), self.events.clone());
+        let start = entry.announcement.leaving_start();
+        let is_leaving = move |dialect: &D, result: &Result<DutyAnswer, DutyFailure>| {
+            let answer = result.as_ref().ok();
+            let leaves = answer.is_some_and(|it| dialect.read_metadata(&it.headers).is_leaving);
+            leaves.then_some(KeeperEvent::TargetLeaving(start))
+        };
         match step {
             WeightStep::Inspect { .. } => {
                 let call = dialect.order_state(&id);
                 self.runtime.spawn(async move {
                     let result = send_duty(&pool, &lease, address, call).await;
+                    if let Some(event) = is_leaving(&dialect, &result) {
+                        events.send(event).ok();
+                    }
                     let report = match result {
-                        Ok((status, body)) if status.is_success() => {
-                            dialect.read_order_state(&body)
+                        Ok(answer) if answer.status.is_success() => {
+                            dialect.read_order_state(&answer.body)
                         }
                         _ => None,
                     };
@@ -174,6 +181,9 @@
                 let call = dialect.weight_order(&holder, &id, &model, version, expect, keep_runs);
                 self.runtime.spawn(async move {
                     let result = send_duty(&pool, &lease, address, call).await;
+                    if let Some(event) = is_leaving(&dialect, &result) {
+                        events.send(event).ok();
+                    }
                     let answer = order_answer(&result);
                     spdlog::info!("weights: ordered", kv: {
                         target = id.as_str(),
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -13,6 +13,7 @@
 use super::lead::RunHandle;
 use super::scoring::UnscoredText;
 use super::texts::global_run_id;
+use crate::dialect::AnswerMetadata;
 use crate::dialect::TargetDialect;
 use crate::jobs::ItemEnd;
 use crate::metrics::METRICS;
@@ -182,6 +183,7 @@
             return;
         };
         let known_limit = entry.rate_limit;
+        let start_of_target = entry.announcement.leaving_start();
         let submission = &record.submission;
         let item = &submission.items[start.item as usize];
         let resumed_events = start.partial.events.len();
@@ -235,7 +237,12 @@
         let events = self.events.clone();
         self.runtime.spawn(async move {
             let target = request.target.clone();
-            let on_limit = |rate| {
+            let on_head = |metadata: &AnswerMetadata| {
+                if metadata.is_leaving {
+                    let event = KeeperEvent::TargetLeaving(start_of_target.clone());
+                    events.send(event).ok();
+                }
+                let rate = metadata.rate_limit;
                 if rate != known_limit {
                     let target = target.clone();
                     let event = KeeperEvent::LimitNamed {
@@ -246,7 +253,7 @@
                     events.send(event).ok();
                 }
             };
-            let end = run_item(pool, dialect, request, progress, stopped, on_limit).await;
+            let end = run_item(pool, dialect, request, progress, stopped, on_head).await;
             // The control thread runs until the process exits.
             events.send(KeeperEvent::RunEnded(run, end)).ok();
         });
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod keeper;
 pub mod leader_client;
 pub mod lease_watch;
+pub mod leaving;
 pub mod link;
 pub mod load_order;
 pub mod logs;
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -42,6 +42,8 @@
     pub quarantined: IntCounter,
     /// Number of streams that callers may take up, by what became of their record.
     pub streams: IntCounterVec,
+    /// Number of targets that told this process in an answer that they leave.
+    pub leaving_marks: IntCounter,
     /// Number of requests relayed by entries: sent through another one, served for another one, or
     /// without a helper.
     pub relays: IntCounterVec,
@@ -128,6 +130,7 @@
             target_crashes: counter("target_crashes_total", "Targets crashed under requests."),
             quarantined: counter("quarantined_total", "Requests refused in quarantine."),
             streams: counters("streams_total", "Resumable streams.", "outcome"),
+            leaving_marks: counter("targets_leaving_total", "Targets that said they leave."),
             relays: counters("relays_total", "Requests relayed by entries.", "outcome"),
             runs: counters("item_runs_total", "Runs of items.", "outcome"),
             reward_calls: counters("reward_calls_total", "Reward calls.", "outcome"),
--- a/crates/service/src/plain.rs
+++ b/crates/service/src/plain.rs
@@ -5,6 +5,7 @@
 use http::Method;
 use http::StatusCode;
 
+use crate::leaving::LeavingStart;
 use crate::plan::RouteKind;
 use crate::software::SoftwareBuild;
 use crate::streams::StreamKey;
@@ -69,6 +70,8 @@
     pub body: Bytes,
     /// Build of the target, if known.
     pub build: Option<Box<SoftwareBuild>>,
+    /// The target, if it says that it leaves.
+    pub leaving: Option<Box<LeavingStart>>,
 }
 
 /// Outcome of forwarding a request.
--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -7,6 +7,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::leaving::LeavingStart;
 use crate::software::SoftwareBuild;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_policy::rate::RequestRate;
@@ -53,6 +54,14 @@
 }
 
 impl TargetAnnouncement {
+    /// Returns the start of the target, as one that leaves.
+    pub fn leaving_start(&self) -> LeavingStart {
+        LeavingStart {
+            id: self.id.clone(),
+            born: self.born,
+        }
+    }
+
     /// Returns whether the target runs a build.
     pub fn runs(&self, build: &SoftwareBuild) -> bool {
         self.service == build.service && self.software.as_ref() == Some(&build.version)
--- a/crates/service/src/relay.rs
+++ b/crates/service/src/relay.rs
@@ -18,6 +18,7 @@
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 
+use crate::leaving::LeavingStart;
 use crate::plain::PlainAnswer;
 use crate::plain::PlainOutcome;
 use crate::plain::PlainRequest;
@@ -159,6 +160,8 @@
         headers: HeaderPairs,
         /// Answer body.
         body: Bytes,
+        /// The target, if it says that it leaves.
+        leaving: Option<LeavingStart>,
     },
     /// The request did not run and never will.
     NotRun,
@@ -182,6 +185,7 @@
                 stamp: answer.stamp,
                 headers: header_pairs(&answer.headers),
                 body: answer.body,
+                leaving: answer.leaving.map(|it| *it),
             },
             PlainOutcome::NotRun => Self::NotRun,
             PlainOutcome::Limited(wait_ms) => Self::Limited(wait_ms),
@@ -202,8 +206,12 @@
                 stamp,
                 headers,
                 body,
+                leaving,
             } => match read_answer(status, stamp, headers, body) {
-                Ok(answer) => PlainOutcome::Answered(answer),
+                Ok(answer) => PlainOutcome::Answered(PlainAnswer {
+                    leaving: leaving.map(Box::new),
+                    ..answer
+                }),
                 Err(error) => {
                     spdlog::warn!("relay: malformed answer", kv: { error = error.to_string() });
                     PlainOutcome::Failed
@@ -231,6 +239,7 @@
         headers: header_map(headers)?,
         body,
         build: None,
+        leaving: None,
     })
 }
 
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -24,6 +24,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
+use crate::dialect::AnswerMetadata;
 use crate::dialect::RequestMetadata;
 use crate::dialect::TargetDialect;
 use crate::events::EventReader;
@@ -33,7 +34,6 @@
 use crate::work::PartialText;
 use crate::work::RunEnd;
 use bergamotlane_coordination::clock::ClockTime;
-use bergamotlane_policy::rate::RequestRate;
 use bergamotlane_storage::clock::now;
 
 /// Time without data from the engine after which a run is stopped, to be resumed elsewhere.
@@ -147,17 +147,17 @@
 
 /// Runs an item until its stream ends or `stop` fires, which counts as a broken stream.
 ///
-/// `on_limit` gets the limit that the engine names in its answer, or `None` if it names none.
+/// `on_head` gets the metadata of the engine's answer before its body is read.
 pub async fn run_item<D: TargetDialect>(
     pool: Arc<TargetPool>,
     dialect: D,
     request: RunRequest,
     progress: Arc<RunProgress>,
     stop: oneshot::Receiver<()>,
-    on_limit: impl Fn(Option<RequestRate>),
+    on_head: impl Fn(&AnswerMetadata),
 ) -> RunEnd {
     let end = tokio::select! {
-        end = stream_item(&pool, &dialect, &request, &progress, on_limit) => Some(end),
+        end = stream_item(&pool, &dialect, &request, &progress, on_head) => Some(end),
         _ = stop => None,
     };
     match end {
@@ -183,7 +183,7 @@
     dialect: &D,
     request: &RunRequest,
     progress: &RunProgress,
-    on_limit: impl Fn(Option<RequestRate>),
+    on_head: impl Fn(&AnswerMetadata),
 ) -> StreamEnd {
     let last_event = progress.text().last_id;
     let Some(message) = build_request(dialect, request, last_event) else {
@@ -201,7 +201,7 @@
     if metadata.request_id.as_ref() != Some(&request.item) {
         return StreamEnd::Broken;
     }
-    on_limit(metadata.rate_limit);
+    on_head(&metadata);
     if !response.status().is_success() {
         let end = end_for_status(response.status(), metadata.not_run);
         let body = Limited::new(response.into_body(), MAX_ERROR_BYTES);
--- a/crates/service/tests/choice.rs
+++ b/crates/service/tests/choice.rs
@@ -5,6 +5,7 @@
 
 use std::collections::BTreeSet;
 
+use proptest::prelude::*;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
@@ -14,6 +15,7 @@
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_service::choice::ChoiceQuery;
 use bergamotlane_service::choice::TargetChooser;
+use bergamotlane_service::leaving::LeavingStart;
 use bergamotlane_service::registry::TargetStage;
 use bergamotlane_service::registry::TargetView;
 use bergamotlane_service::software::SoftwareBuild;
@@ -253,3 +255,56 @@
         }
     }
 }
+
+/// Step in the life of a target as an entry sees it.
+#[derive(Debug, Clone, Copy)]
+enum LifeStep {
+    /// A view shows the target's start of this number as ready, perhaps an old one.
+    View(u64),
+    /// The target is gone from a view.
+    Removed,
+    /// An answer of the start of this number says that the target leaves.
+    Mark(u64),
+}
+
+fn life_steps() -> impl Strategy<Value = Vec<LifeStep>> {
+    let step = prop_oneof![
+        (0_u64..4).prop_map(LifeStep::View),
+        Just(LifeStep::Removed),
+        (0_u64..4).prop_map(LifeStep::Mark),
+    ];
+    proptest::collection::vec(step, 1..40)
+}
+
+proptest! {
+    /// Guards against any order of marks, views and restarts after which a start that has said that it
+    /// leaves gets a request, or a later one gets none.
+    #[test]
+    fn a_marked_start_gets_no_request_and_a_later_one_does(steps in life_steps()) {
+        let mut chooser = TargetChooser::new("entry", "a");
+        let mut shown: Option<u64> = None;
+        let mut marked: Option<u64> = None;
+        for step in steps {
+            match step {
+                LifeStep::View(born) => {
+                    let mut ready = view("x", "a");
+                    ready.announcement.born = born;
+                    chooser.apply_changes(START, &[ready], &[]);
+                    shown = Some(born);
+                }
+                LifeStep::Removed => {
+                    chooser.apply_changes(START, &[], &["x".to_owned()]);
+                    shown = None;
+                }
+                LifeStep::Mark(born) => {
+                    let id = "x".to_owned();
+                    chooser.mark_leaving(&LeavingStart { id, born });
+                    marked = marked.max(Some(born));
+                }
+            }
+            let expected = shown.is_some_and(|born| marked.is_none_or(|it| it < born));
+            let chosen = choose(&mut chooser, START, &[]);
+            prop_assert_eq!(chosen.is_some(), expected);
+        }
+    }
+}
--- a/crates/service/tests/targets/forward.rs
+++ b/crates/service/tests/targets/forward.rs
@@ -321,3 +321,52 @@
     let answered = matches!(report.outcome, PlainOutcome::Answered(_));
     assert_eq!(answered, is_answered);
 }
+
+/// Guards against an entry that goes on to send to a target that has said that it leaves, in whatever
+/// answer it did, and although a view made before says that it is ready: the entry reaches no leader.
+#[rstest]
+#[case::success(StubBehaviour::Leaves(200))]
+#[case::error_that_is_retried(StubBehaviour::Leaves(500))]
+#[case::not_found(StubBehaviour::Leaves(404))]
+#[case::cut_after_its_head(StubBehaviour::LeavesTruncated)]
+#[tokio::test]
+async fn a_target_that_says_it_leaves_gets_no_further_request(#[case] behaviour: StubBehaviour) {
+    let leaving = StubTarget::start(behaviour).await;
+    let staying = StubTarget::start(StubBehaviour::Healthy).await;
+    let forwarder = forwarder(5_000);
+    let views = [
+        view("leaving", leaving.address),
+        view("staying", staying.address),
+    ];
+    forwarder.chooser().update(now(), &views);
+    for _ in 0..20 {
+        // The same target is chosen until it says so, since it is the only one outside the list.
+        if leaving.count() == 0 {
+            let alone = [view("leaving", leaving.address)];
+            forwarder.chooser().update(now(), &alone);
+        }
+        forwarder.forward(&request(RouteKind::Safe, 1_000)).await;
+        forwarder.chooser().update(now(), &views);
+    }
+    assert_eq!((leaving.count(), staying.count()), (1, 19));
+    let mut reborn = view("leaving", staying.address);
+    reborn.announcement.born += 1;
+    forwarder.chooser().update(now(), &[reborn]);
+    let report = forwarder.forward(&request(RouteKind::Safe, 1_000)).await;
+    assert!(matches!(report.outcome, PlainOutcome::Answered(_)));
+}
+
+/// Guards against requests that wait or are cut when all targets of a service leave: they are refused at
+/// once, and truly.
+#[tokio::test]
+async fn a_request_is_refused_at_once_when_all_targets_leave() {
+    let leaving = StubTarget::start(StubBehaviour::Leaves(200)).await;
+    let forwarder = forwarder(5_000);
+    forwarder
+        .chooser()
+        .update(now(), &[view("t", leaving.address)]);
+    forwarder.forward(&request(RouteKind::Safe, 1_000)).await;
+    let report = forwarder.forward(&request(RouteKind::Unsafe, 60_000)).await;
+    assert!(matches!(report.outcome, PlainOutcome::NotRun));
+    assert_eq!(leaving.count(), 1);
+}
--- a/crates/service/tests/targets/relay.rs
+++ b/crates/service/tests/targets/relay.rs
@@ -369,6 +369,22 @@
     assert_eq!((own.count(), other.count()), (10, known));
 }
 
+/// Guards against an entry that sends to a leaving target of which it heard through a helper alone.
+#[tokio::test]
+async fn a_leaving_target_is_known_to_the_entry_that_passed_its_answer_on() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let leaving = StubTarget::start(StubBehaviour::Leaves(200)).await;
+    let own = StubTarget::start(StubBehaviour::Healthy).await;
+    let only = |address| vec![view("t0", address)];
+    let targets = [dead.address, leaving.address].map(only);
+    let group = TestGroup::start(targets.into()).await;
+    assert!(is_answered(&group.forward(0, RouteKind::Safe).await));
+    group.send_targets(0, only(own.address));
+    sleep(Duration::from_millis(600)).await;
+    assert!(!is_answered(&group.forward(0, RouteKind::Safe).await));
+    assert_eq!(own.count(), 0);
+}
+
 /// Guards against one target that is down for which requests go a longer way although others serve.
 #[tokio::test]
 async fn a_single_target_that_is_down_is_no_reason_to_use_helpers() {
--- a/crates/service/tests/targets/support.rs
+++ b/crates/service/tests/targets/support.rs
@@ -56,6 +56,7 @@
             not_run: headers.contains_key("x-not-run"),
             version: text("x-version").and_then(|version| version.parse().ok()),
             rate_limit: text("x-limit").and_then(|limit| RequestRate::parse(&limit)),
+            is_leaving: headers.contains_key("x-leaving"),
         }
     }
 
@@ -99,6 +100,10 @@
     Healthy,
     /// Sends a correct answer after a delay in milliseconds.
     Slow(u64),
+    /// Sends a correct answer with this status that says that the target leaves.
+    Leaves(u16),
+    /// Says that the target leaves, and closes the connection before the last bytes of the answer.
+    LeavesTruncated,
     /// Refuses the request with status 503 and states that it did not run it.
     Refuses,
     /// Reports an internal error with status 500.
@@ -255,6 +260,14 @@
                 "x-not-run: 1\r\n",
                 "full",
             ),
+            StubBehaviour::Leaves(status) => {
+                let status = format!("{status} Status");
+                answer(&status, id, true, "x-leaving: 1\r\n", "whole")
+            }
+            StubBehaviour::LeavesTruncated => {
+                let whole = answer("200 OK", id, true, "x-leaving: 1\r\n", "whole");
+                whole[..whole.len() - 2].to_owned()
+            }
             StubBehaviour::Fails => answer("500 Internal Server Error", id, true, "", "broken"),
             StubBehaviour::ClosesConnection | StubBehaviour::RefusesConnections => return,
             StubBehaviour::Truncates => complete[..complete.len() - 2].to_owned(),
@@ -286,7 +299,9 @@
         }
         let closes = matches!(
             behaviour,
-            StubBehaviour::Truncates | StubBehaviour::BreaksAfter(_)
+            StubBehaviour::Truncates
+                | StubBehaviour::LeavesTruncated
+                | StubBehaviour::BreaksAfter(_)
         );
         if closes {
             return;
