--- a/crates/daemon/tests/processes/support.rs
+++ b/crates/daemon/tests/processes/support.rs
@@ -15,7 +15,8 @@
 
 use reqwest::Method;
 use serde_json::Value;
-use tempfile::TempDir;
+
+use bergamotlane_standins::folder::TestFolder;
 
 /// Key that operators send with their requests.
 const OPERATOR_KEY: &str = "test-operator-key-0123456789";
@@ -83,7 +84,7 @@
 
 /// A running cluster: daemons, the platform and targets.
 pub struct Cluster {
-    folder: TempDir,
+    folder: TestFolder,
     /// Processes of the daemons; `None` before the first start.
     pub daemons: Vec<Option<Process>>,
     pub addresses: Vec<Addresses>,
@@ -139,7 +140,7 @@
             })
             .collect();
         let mut cluster = Self {
-            folder: tempfile::tempdir().unwrap(),
+            folder: TestFolder::create(),
             daemons: (0..count).map(|_| None).collect(),
             addresses,
             platform: free_address(),
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod arguments;
 pub mod engine;
 pub mod faults;
+pub mod folder;
 pub mod plain;
 pub mod platform;
 pub mod reply;
