--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -4,23 +4,15 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::Mutex;
-use std::sync::PoisonError;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::AtomicU32;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-use tokio::sync::Semaphore;
 use tokio::sync::mpsc;
-use tokio::sync::watch;
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
-use tokio::time::timeout;
 
 use crate::dialect::TargetDialect;
 use crate::directory::KeeperDirectory;
+use crate::entry_shared::EntryShared;
 use crate::forward::Forwarder;
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
@@ -34,12 +26,9 @@
 use crate::link::LinkHub;
 use crate::link::LinkId;
 use crate::metrics::METRICS;
-use crate::plain::PlainOutcome;
-use crate::plain::PlainRequest;
-use crate::plan::RouteIndex;
+use crate::plan::RoutingPlan;
 use crate::relay::RelayCall;
 use crate::relay::RelayClient;
-use crate::relay::RelayReply;
 use crate::relay::RelayRequest;
 use crate::relay_links::RelayLinks;
 use crate::usage::UsageSums;
@@ -49,9 +38,6 @@
 /// the path to them is lost.
 const RELAY_INTERVAL: Duration = Duration::from_millis(200);
 
-/// Most requests of other entries that are served at the same time.
-const MAX_RELAYED: usize = 64;
-
 /// Interval between two reports of usage to the keepers.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -70,118 +56,6 @@
     pub usage_window_ms: u64,
 }
 
-/// State that an entry's request handlers share with its event loop.
-pub struct EntryShared<D> {
-    /// Client for calls to the leader.
-    pub leader: LeaderClient,
-    /// Forwards requests to targets of plain services.
-    pub forwarder: Forwarder<D>,
-    index: Mutex<Option<Arc<RouteIndex>>>,
-    has_routes: watch::Sender<bool>,
-    entry_count: AtomicU32,
-    draining: AtomicBool,
-    /// Places for requests of other entries.
-    relay_slots: Arc<Semaphore>,
-    /// Monotonic time of the last view, in milliseconds.
-    view_at: AtomicU64,
-}
-
-impl<D: TargetDialect> EntryShared<D> {
-    /// Returns the routes in force, or `None` before the first plan has arrived.
-    pub fn routes(&self) -> Option<Arc<RouteIndex>> {
-        self.index
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner)
-            .clone()
-    }
-
-    /// Returns the routes in force, waiting up to `limit` for the first plan after a start.
-    pub async fn wait_for_routes(&self, limit: Duration) -> Option<Arc<RouteIndex>> {
-        if let Some(routes) = self.routes() {
-            return Some(routes);
-        }
-        let mut has_routes = self.has_routes.subscribe();
-        timeout(limit, has_routes.wait_for(|it| *it))
-            .await
-            .ok()?
-            .ok()?;
-        self.routes()
-    }
-
-    /// Returns whether the entry accepts new requests: it knows the routes and is not draining.
-    pub fn is_ready(&self) -> bool {
-        !self.is_draining() && self.routes().is_some()
-    }
-
-    /// Returns whether the entry is draining before its process ends.
-    pub fn is_draining(&self) -> bool {
-        self.draining.load(Ordering::Relaxed)
-    }
-
-    /// Starts draining: the entry stops accepting new requests.
-    pub fn drain(&self) {
-        self.draining.store(true, Ordering::Relaxed);
-    }
-
-    /// Returns the number of requests of other entries in progress.
-    pub fn relayed(&self) -> usize {
-        MAX_RELAYED - self.relay_slots.available_permits()
-    }
-
-    /// Serves a request of another entry, which has no path to the targets.
-    async fn serve_relayed(&self, request: RelayRequest) -> RelayReply {
-        let Ok(_slot) = self.relay_slots.try_acquire() else {
-            return RelayReply::Refused;
-        };
-        if self.is_draining() || self.forwarder.reach().is_lost() {
-            return RelayReply::Refused;
-        }
-        let Some(routes) = self.routes() else {
-            return RelayReply::Refused;
-        };
-        let Some(spec) = routes.service(request.service()) else {
-            return RelayReply::NotRun;
-        };
-        let cold_pause_ms = self.cold_pause_ms(spec.cold_per_s);
-        let request = match PlainRequest::try_from(request) {
-            Ok(request) => PlainRequest {
-                cold_pause_ms,
-                sharers: self.sharers(),
-                ..request
-            },
-            Err(error) => {
-                spdlog::warn!("relay: malformed request", kv: { error = error.to_string() });
-                return RelayReply::NotRun;
-            }
-        };
-        METRICS.relays.with_label_values(&["served"]).inc();
-        let outcome = self.forwarder.forward_relayed(&request).await.outcome;
-        match outcome {
-            // Another entry may have a path.
-            PlainOutcome::NotRun if self.forwarder.reach().is_lost() => RelayReply::Refused,
-            outcome => RelayReply::from(outcome),
-        }
-    }
-
-    /// Returns the time since the last view arrived, in milliseconds.
-    pub fn view_age_ms(&self) -> u64 {
-        now().0.saturating_sub(self.view_at.load(Ordering::Relaxed))
-    }
-
-    /// Returns the number of processes that share what a target takes, at least 1.
-    pub fn sharers(&self) -> u32 {
-        self.entry_count.load(Ordering::Relaxed).max(1)
-    }
-
-    /// Returns the shortest interval between two requests from this entry to the same cold target,
-    /// in milliseconds, or `None` if cold targets must get no requests.
-    ///
-    /// `cold_per_s` is the rate that a cold target can handle; the live entries share it equally.
-    pub fn cold_pause_ms(&self, cold_per_s: f64) -> Option<u64> {
-        (cold_per_s > 0.0).then(|| (f64::from(self.sharers()) * 1_000.0 / cold_per_s) as u64)
-    }
-}
-
 /// Event loop that owns an entry's links to the keepers.
 pub struct EntryLoop<D> {
     process_run: u64,
@@ -230,23 +104,14 @@
         founds: false,
         keepers: BTreeSet::new(),
     };
-    let shared = Arc::new(EntryShared {
-        forwarder: Forwarder::new(
-            dialect,
-            leader.clone(),
-            &settings.name,
-            &settings.zone,
-            settings.usage_window_ms,
-        )
-        .with_relay(relay),
-        leader,
-        index: Mutex::new(None),
-        has_routes: watch::Sender::new(false),
-        entry_count: AtomicU32::new(1),
-        draining: AtomicBool::new(false),
-        relay_slots: Arc::new(Semaphore::new(MAX_RELAYED)),
-        view_at: AtomicU64::new(0),
-    });
+    let forwarder = Forwarder::new(
+        dialect,
+        leader.clone(),
+        &settings.name,
+        &settings.zone,
+        settings.usage_window_ms,
+    );
+    let shared = Arc::new(EntryShared::new(leader, forwarder.with_relay(relay)));
     let directory = KeeperDirectory::new(now(), &settings.name, settings.seeds.clone());
     let hub = LinkHub::new(hello, sender);
     let entry = EntryLoop {
@@ -446,10 +311,7 @@
             },
         );
         let time = now();
-        self.shared.view_at.store(time.0, Ordering::Relaxed);
-        self.shared
-            .entry_count
-            .store(view.entries.max(1), Ordering::Relaxed);
+        self.shared.record_view(time, view.entries);
         if let Some(plan) = view.plan {
             self.install_plan(plan);
         }
@@ -476,21 +338,12 @@
         }
     }
 
-    fn install_plan(&mut self, plan: crate::plan::RoutingPlan) {
-        let mut index = self
-            .shared
-            .index
-            .lock()
-            .unwrap_or_else(PoisonError::into_inner);
-        let known_version = index.as_ref().map(|it| it.plan().version);
-        if known_version.is_some_and(|it| it >= plan.version) {
-            return;
+    fn install_plan(&self, plan: RoutingPlan) {
+        let (version, routes) = (plan.version, plan.routes.len());
+        if self.shared.install_plan(plan) {
+            spdlog::info!("view: plan", kv: { version, routes, term = self.view_term });
+            METRICS.plan_version.set(version as i64);
         }
-        spdlog::info!("view: plan", kv: { version = plan.version, routes = plan.routes.len(), term = self.view_term });
-        METRICS.plan_version.set(plan.version as i64);
-        *index = Some(Arc::new(RouteIndex::new(plan)));
-        drop(index);
-        self.shared.has_routes.send_replace(true);
     }
 
     fn call_leader(&mut self, request: CallRequest) {
--- /dev/null
+++ b/crates/service/src/forward/next_target.rs
@@ -0,0 +1,99 @@
+//! Choice of the next target of a request, with a permit if the target names a limit.
+
+use std::time::Duration;
+
+use tokio::time::sleep;
+
+use super::Forwarder;
+use super::attempt::ChosenTarget;
+use crate::choice::ChoiceQuery;
+use crate::dialect::TargetDialect;
+use crate::permits::PermitQuery;
+use crate::plain::PlainRequest;
+use bergamotlane_policy::rate::PermitClaim;
+use bergamotlane_policy::rate::PermitReply;
+use bergamotlane_storage::clock::now;
+
+/// Divisor of the latency target that yields the longest wait for a permit.
+const PERMIT_WAIT_DIVISOR: u64 = 2;
+
+/// Target for the next try of a request.
+pub(super) enum NextTarget<'a> {
+    Chosen(Box<ChosenTarget<'a>>),
+    /// All targets that could take the request are at their limits for this time, in milliseconds.
+    Limited(u64),
+    None,
+}
+
+impl<D: TargetDialect> Forwarder<D> {
+    /// Chooses the next target of a request. `with_limited` allows targets that name a limit, for
+    /// which the request must have a permit.
+    pub(super) async fn next_target(
+        &self,
+        request: &PlainRequest,
+        tried: &[String],
+        with_limited: bool,
+    ) -> NextTarget<'_> {
+        let claim = permit_claim(request);
+        let mut free_in_ms: Option<u64> = None;
+        loop {
+            let query = ChoiceQuery {
+                service: &request.service,
+                tried,
+                cold_pause_ms: request.cold_pause_ms,
+                reserved_slots: request.reserved_slots,
+                with_limited,
+                build: request.resumes.as_ref(),
+            };
+            let Some(target) = ChosenTarget::choose(&self.chooser, query) else {
+                let denied_ms = || self.chooser().denied_ms(now(), &request.service);
+                return match free_in_ms.or_else(denied_ms) {
+                    Some(wait_ms) => NextTarget::Limited(wait_ms),
+                    None => NextTarget::None,
+                };
+            };
+            let Some(rate) = target.entry.rate_limit else {
+                return NextTarget::Chosen(Box::new(target));
+            };
+            let id = target.entry.announcement.id.as_str();
+            let permit = self.permits.acquire(PermitQuery {
+                target: id,
+                rate,
+                claim,
+                sharers: request.sharers,
+            });
+            match permit.await {
+                PermitReply::Granted(wait_ms) => {
+                    sleep(Duration::from_millis(wait_ms)).await;
+                    if self.chooser().is_leaving(&target.entry.announcement) {
+                        continue;
+                    }
+                    return NextTarget::Chosen(Box::new(target));
+                }
+                PermitReply::Denied(wait_ms) => {
+                    spdlog::info!("request: no permit", kv: {
+                        request = request.id.as_str(),
+                        target = id,
+                        limit_per_s = rate.per_s(),
+                        free_in_ms = wait_ms,
+                    });
+                    let earlier_ms = match claim {
+                        PermitClaim::Caller(max_wait_ms) => max_wait_ms,
+                        PermitClaim::Background => 0,
+                    };
+                    let until = now() + wait_ms.saturating_sub(earlier_ms);
+                    target.deny(until);
+                    free_in_ms = Some(free_in_ms.map_or(wait_ms, |it| it.min(wait_ms)));
+                }
+            }
+        }
+    }
+}
+
+/// Returns a request's claim on a permit. One that leaves slots to callers leaves permits as well.
+fn permit_claim(request: &PlainRequest) -> PermitClaim {
+    match request.reserved_slots {
+        Some(_) => PermitClaim::Background,
+        None => PermitClaim::Caller(request.latency_target_ms / PERMIT_WAIT_DIVISOR),
+    }
+}
--- a/crates/service/src/forward/progress.rs
+++ b/crates/service/src/forward/progress.rs
@@ -94,11 +94,17 @@
 
     /// Returns whether the request may be relayed beside `running` tries.
     pub(super) fn may_relay(&self, running: usize) -> bool {
-        let is_alone = self.suspect.is_none() || running == 0;
+        let is_alone = self.suspect.is_none() || (running == 0 && self.attempts == 0);
         let may_repeat = self.is_idempotent || (self.attempts == 0 && self.failed.is_none());
         self.relay == RelayStage::NotTried && may_repeat && is_alone
     }
 
+    /// Returns the number of targets that another entry may try. A try that was cut off with the path
+    /// doesn't keep it from one.
+    pub(super) fn attempts_left(&self) -> u32 {
+        self.max_attempts.saturating_sub(self.attempts).max(1)
+    }
+
     /// Returns whether enough targets could not be reached for the request to be relayed, although the
     /// instance has reached others.
     pub(super) fn has_no_path(&self) -> bool {
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 mod engine_load;
 pub mod entry;
+pub mod entry_shared;
 pub mod events;
 pub mod forward;
 pub mod frames;
--- a/crates/service/src/relay.rs
+++ b/crates/service/src/relay.rs
@@ -279,14 +279,17 @@
         (Self { calls }, queue)
     }
 
-    /// Sends a request through the first helper that takes it. Returns `None` if there is none; then
-    /// the request did not run.
-    pub async fn send(&self, request: &PlainRequest) -> Option<PlainOutcome> {
+    /// Sends a request through the first helper that takes it and may try `attempts` targets. Returns
+    /// `None` if there is no helper; then the request did not run.
+    pub async fn send(&self, request: &PlainRequest, attempts: u32) -> Option<PlainOutcome> {
         let search_end: ClockTime = (now() + HELPER_SEARCH_MS).min(request.limit);
         loop {
             let (reply, result) = oneshot::channel();
             let call = RelayCall {
-                request: Box::new(request.into()),
+                request: Box::new(RelayRequest {
+                    max_attempts: attempts,
+                    ..request.into()
+                }),
                 reply,
             };
             self.calls.send(call).ok()?;
--- a/crates/service/tests/targets/relay.rs
+++ b/crates/service/tests/targets/relay.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -30,6 +31,8 @@
 use bergamotlane_service::entry::start_entry;
 use bergamotlane_service::frames::HelloFrame;
 use bergamotlane_service::frames::LeadHint;
+use bergamotlane_service::frames::LeaderCall;
+use bergamotlane_service::frames::LeaderReply;
 use bergamotlane_service::frames::LinkFrame;
 use bergamotlane_service::frames::ViewFrame;
 use bergamotlane_service::link::LinkEvent;
@@ -42,6 +45,7 @@
 use bergamotlane_service::plan::ServiceSpec;
 use bergamotlane_service::registry::TargetStage;
 use bergamotlane_service::registry::TargetView;
+use bergamotlane_service::streams::StreamKey;
 use bergamotlane_storage::clock::now;
 
 /// Time after which a condition that does not come true fails the test.
@@ -106,6 +110,8 @@
 struct TestGroup {
     hub: Arc<LinkHub>,
     entries: Vec<TestEntry>,
+    /// Calls to the leader, with the links that they came over.
+    calls: Arc<Mutex<Vec<(LinkId, LeaderCall)>>>,
 }
 
 fn hello(name: &str, address: SocketAddr) -> HelloFrame {
@@ -177,8 +183,22 @@
                 relay,
             });
         }
-        tokio::spawn(async move { while events.recv().await.is_some() {} });
-        let group = Self { hub, entries };
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let (answering, received) = (Arc::clone(&hub), Arc::clone(&calls));
+        tokio::spawn(async move {
+            while let Some(event) = events.recv().await {
+                if let LinkEvent::Frame(link, LinkFrame::Call { id, call }) = event {
+                    received.lock().unwrap().push((link, call));
+                    let reply = LeaderReply::Done;
+                    answering.send(link, &LinkFrame::Reply { id, reply });
+                }
+            }
+        });
+        let group = Self {
+            hub,
+            entries,
+            calls,
+        };
         group.hub.set_hint(LeadHint {
             leads: true,
             term: 1,
@@ -326,10 +346,12 @@
     let stub = StubTarget::start(StubBehaviour::Slow(60_000)).await;
     let targets = [dead.address, stub.address].map(targets_at);
     let group = TestGroup::start(targets.into()).await;
-    let leaving = timeout(
-        Duration::from_millis(700),
-        group.forward(0, RouteKind::Unsafe),
-    );
+    let patient = PlainRequest {
+        limit: now() + 100_000,
+        ..request(RouteKind::Unsafe)
+    };
+    let forwarder = &group.entries[0].handle.shared.forwarder;
+    let leaving = timeout(Duration::from_millis(700), forwarder.forward(&patient));
     assert!(leaving.await.is_err());
     assert_eq!(stub.count(), 1);
     let helper = &group.entries[1].handle.shared;
@@ -343,6 +365,45 @@
     }
 }
 
+/// Guards against a stream that goes through a helper and that nobody knows the origin of, so that its
+/// caller can't take it up.
+#[tokio::test]
+async fn a_helper_records_the_streams_of_others() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let stub = StubTarget::start(StubBehaviour::Healthy).await;
+    let targets = [dead.address, stub.address].map(targets_at);
+    let group = TestGroup::start(targets.into()).await;
+    let stream = StreamKey::of(Some("mint"), "r1");
+    let begins = PlainRequest {
+        begins: Some(stream),
+        ..request(RouteKind::Stream)
+    };
+    let forwarder = &group.entries[0].handle.shared.forwarder;
+    assert!(is_answered(&forwarder.forward(&begins).await.outcome));
+    let build = view("t0", stub.address).announcement.build().unwrap();
+    let expected = LeaderCall::BeginStream { stream, build };
+    let calls = group.calls.lock().unwrap();
+    assert_eq!(*calls, vec![(group.entries[1].link, expected)]);
+}
+
+/// Guards against a request that runs on more targets than its route allows, since those that it was
+/// sent to before it was relayed don't count.
+#[tokio::test]
+async fn a_relayed_request_keeps_the_number_of_its_attempts() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let reached = StubTarget::start(StubBehaviour::Fails).await;
+    let failing = StubTarget::start(StubBehaviour::Fails).await;
+    let mut own = targets_at(dead.address);
+    own[0].announcement.address = reached.address;
+    let group = TestGroup::start(vec![own, targets_at(failing.address)]).await;
+    for _ in 0..5 {
+        group.forward(0, RouteKind::Safe).await;
+    }
+    let sent = reached.count() + failing.count();
+    assert!(sent <= 10, "{sent} attempts, 10 are allowed");
+    assert!(failing.count() > 0);
+}
+
 /// Guards against an entry that goes on to use helpers although its own path is back.
 #[tokio::test]
 async fn an_entry_uses_its_own_path_again_once_it_is_back() {
