--- a/crates/service/src/relay_links.rs
+++ b/crates/service/src/relay_links.rs
@@ -1,5 +1,8 @@
 //! An entry's links to other entries, over which requests are relayed in both directions.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -18,6 +21,9 @@
 /// Time for which a helper that refused a request gets no other one, in milliseconds.
 const REFUSAL_PAUSE_MS: u64 = 300;
 
+/// Time in which links to helpers come up, in milliseconds.
+const LINK_TIME_MS: u64 = 400;
+
 /// Time without a call after which the links to the helpers are closed, in milliseconds.
 const IDLE_MS: u64 = 5_000;
 
@@ -48,6 +54,8 @@
     next: u64,
     /// Time of the latest call, while links to helpers are kept.
     used_at: Option<ClockTime>,
+    /// Time from which on helpers without a link count as unreachable.
+    linked_by: ClockTime,
 }
 
 impl RelayLinks {
@@ -69,7 +77,11 @@
 
     /// Records that requests need helpers. Returns whether links have to be made.
     pub(crate) fn activate(&mut self, now: ClockTime) -> bool {
-        self.used_at.replace(now).is_none()
+        let is_new = self.used_at.replace(now).is_none();
+        if is_new {
+            self.linked_by = now + LINK_TIME_MS;
+        }
+        is_new
     }
 
     /// Ends the use of helpers after a time without calls. Returns the links to close, and `None` if the
@@ -110,7 +122,8 @@
         });
         let best = willing.min_by_key(|(link, it)| (it.pending, **link));
         let Some(link) = best.map(|(link, _)| *link) else {
-            let result = match self.links.is_empty() && !self.helpers.is_empty() {
+            let may_come = self.links.len() < self.helpers.len() && now < self.linked_by;
+            let result = match may_come {
                 true => RelayResult::NoHelper,
                 false => RelayResult::Exhausted,
             };
--- a/crates/service/tests/targets/relay.rs
+++ b/crates/service/tests/targets/relay.rs
@@ -292,6 +292,21 @@
     assert_eq!((counted(0), counted(2)), (0, 10));
 }
 
+/// Guards against a request that is refused since the first helper linked has no path either, while the
+/// link to one that has is still on its way up.
+#[tokio::test]
+async fn the_first_relayed_request_waits_for_the_links_to_all_helpers() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let stub = StubTarget::start(StubBehaviour::Healthy).await;
+    let mut targets = vec![targets_at(dead.address); 7];
+    targets.push(targets_at(stub.address));
+    let group = TestGroup::start(targets).await;
+    for index in (0..7).rev() {
+        let outcome = group.forward(index, RouteKind::Unsafe).await;
+        assert!(is_answered(&outcome), "{index}: {outcome:?}");
+    }
+}
+
 /// Guards against a request that goes from entry to entry while none has a path, and against one that
 /// waits for its deadline then instead of being refused.
 #[tokio::test]
