Tell all processes of a leaving target once, not at each report of it

Found in the reading of the change: each of 250 entries reports a target that says in its answers that it leaves, and the leader sent its view to all links at each report. Now it does at the first one; later reports wait for the same commit. The process test of leaving engines and the tables hold as before; the number of views at size was not measured.

--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -216,18 +216,20 @@
 
     /// Records that a target said in an answer that it leaves, and tells all processes at once.
     pub(super) fn mark_leaving(&mut self, start: LeavingStart, origin: CallOrigin) {
-        let LeavingStart { id, born } = &start;
-        if self.leaving.mark(&start) {
-            spdlog::info!("target: says that it leaves", kv: { target = id.as_str(), born = *born });
-            METRICS.leaving_marks.inc();
-        }
+        let is_news = self.leaving.mark(&start);
+        let LeavingStart { id, born } = start;
         let Some(lead) = &mut self.lead else {
             self.reply(origin, LeaderReply::NotLeader);
             return;
         };
-        lead.registry.mark_leaving(now(), id, *born, false);
-        self.push_views();
-        self.confirm_leaving(start.id, start.born, false, origin);
+        // Each entry reports the target, but all of them have to be told only once.
+        if is_news {
+            spdlog::info!("target: says that it leaves", kv: { target = id.as_str(), born });
+            METRICS.leaving_marks.inc();
+            lead.registry.mark_leaving(now(), &id, born, false);
+            self.push_views();
+        }
+        self.confirm_leaving(id, born, false, origin);
     }
 
     fn depart(&mut self, id: String, origin: CallOrigin) {
