--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -3,6 +3,7 @@
 #[path = "../common/mod.rs"]
 mod common;
 mod forward;
+mod group;
 mod relay;
 mod run;
 mod support;
