--- a/crates/coordination/examples/embed.rs
+++ b/crates/coordination/examples/embed.rs
@@ -22,6 +22,7 @@
 use bergamotlane_coordination::consensus::MemberRecord;
 use bergamotlane_coordination::consensus::NodeStart;
 use bergamotlane_coordination::consensus::ReplicatedLog;
+use bergamotlane_coordination::consensus::SnapshotData;
 use bergamotlane_coordination::consensus::VoteRecord;
 use bergamotlane_coordination::ident::NodeId;
 
@@ -84,7 +85,7 @@
         index: 1,
         term: 1,
         membership,
-        data: Bytes::new(),
+        data: SnapshotData::default(),
     };
     let mut nodes: BTreeMap<NodeId, ConsensusNode> = (1..=3)
         .map(|id| {
@@ -92,6 +93,7 @@
                 node: NodeId(id),
                 vote: VoteRecord::default(),
                 log: ReplicatedLog::new(snapshot.clone(), Vec::new()),
+                applied: 0,
                 seed: 7,
             };
             let node = ConsensusNode::new(clock.now(), ConsensusConfig::default(), start);
--- a/crates/coordination/src/consensus/message.rs
+++ b/crates/coordination/src/consensus/message.rs
@@ -15,6 +15,11 @@
     Noop,
     /// Carries a command for the state machine.
     Command(Bytes),
+    /// Stands for a command of this length, in bytes, that is only in storage.
+    ///
+    /// Outputs of a node may contain such entries. Their commands must be read before anybody acts
+    /// on them; they are never sent or stored in this form.
+    Stored(u32),
     /// Sets the membership, which takes effect as soon as the entry is appended.
     Membership(GroupMembership),
 }
--- a/crates/coordination/src/consensus/mod.rs
+++ b/crates/coordination/src/consensus/mod.rs
@@ -5,6 +5,11 @@
 //! make each output for which [`ConsensusOutput::is_durable`] returns `true` durable before
 //! it acts on any later one, and then call [`ConsensusNode::mark_synced`].
 //!
+//! The node needn't hold the whole log: [`ConsensusNode::evict_commands`] drops commands of
+//! synced entries, and data of snapshots is never kept. Outputs may then contain
+//! [`EntryBody::Stored`] and [`SnapshotData::Stored`], which the caller replaces by the bytes
+//! from its storage.
+//!
 //! A [`NodeId`](crate::ident::NodeId) identifies a data folder, not a machine: a machine
 //! that lost its folder comes back under a new ID, so that it can't vote twice in a term
 //! whose vote it has forgotten.
@@ -28,6 +33,7 @@
 pub use log::LogEntry;
 pub use log::LogSnapshot;
 pub use log::ReplicatedLog;
+pub use log::SnapshotData;
 pub use membership::GroupMembership;
 pub use membership::MemberRecord;
 pub use message::ConsensusMessage;
--- a/crates/coordination/src/consensus/node.rs
+++ b/crates/coordination/src/consensus/node.rs
@@ -14,6 +14,7 @@
 use super::log::ReplicatedLog;
 use super::membership::GroupMembership;
 use super::message::ConsensusMessage;
+use super::message::EntryBody;
 use super::message::VoteRecord;
 use super::replication::PeerProgress;
 use super::role::NodeRole;
@@ -24,6 +25,10 @@
 use crate::clock::DRIFT_ALLOWANCE_PER_MILLE;
 use crate::ident::NodeId;
 
+/// Limit on the size of the evicted commands that are handed out to be applied between two ticks,
+/// in bytes. The last one may exceed it.
+const APPLY_BYTES_PER_TICK: usize = 8 * 1024 * 1024;
+
 /// Timings of a node.
 #[derive(Debug, Clone, Copy)]
 pub struct ConsensusConfig {
@@ -59,6 +64,12 @@
     pub vote: VoteRecord,
     /// Stored log, or the default for an empty folder.
     pub log: ReplicatedLog,
+    /// Index of the snapshot that the state machine was restored from, or zero.
+    ///
+    /// It may be newer than the one that the log begins after. A node takes a snapshot only of
+    /// applied entries, or installs one of a leader, so what a snapshot covers is committed, and
+    /// the stored log holds these very entries. An index after the end of the log is ignored.
+    pub applied: u64,
     /// Seed of the random election timeouts, which is combined with the ID.
     pub seed: u64,
 }
@@ -88,7 +99,7 @@
     SaveVote(VoteRecord),
     /// Store entries, after dropping all stored ones from the first new index on.
     AppendEntries(Vec<LogEntry>),
-    /// Store a snapshot and drop the entries that it covers.
+    /// Store a snapshot, which has its data, and drop the entries that it covers.
     SaveSnapshot(LogSnapshot),
     /// Send a message to another node; it may be lost, delayed or duplicated.
     Send {
@@ -133,6 +144,8 @@
     pub(super) commit: u64,
     /// Index up to which entries were handed out to be applied.
     pub(super) applied: u64,
+    /// Size of the stored commands that may still be handed out before the next tick, in bytes.
+    pub(super) apply_budget: usize,
     /// Index up to which the log is durable on this node.
     pub(super) synced: u64,
     /// Before this time the node grants no vote, since a leader may hold a lease.
@@ -164,8 +177,12 @@
     /// only voter of a group may start an election at once.
     pub fn new(now: ClockTime, config: ConsensusConfig, start: NodeStart) -> Self {
         let chart = role_chart();
-        let applied = start.log.snapshot().index;
         let synced = start.log.last_index();
+        let base = start.log.snapshot().index;
+        let applied = match start.applied <= synced {
+            true => base.max(start.applied),
+            false => base,
+        };
         let mut node = Self {
             node: start.node,
             config,
@@ -175,6 +192,7 @@
             leader: None,
             commit: applied,
             applied,
+            apply_budget: APPLY_BYTES_PER_TICK,
             synced,
             votes_withheld_until: now + config.lease_ms,
             election_due: now,
@@ -223,6 +241,11 @@
         self.commit
     }
 
+    /// Returns the index up to which entries were handed out to be applied.
+    pub fn applied_index(&self) -> u64 {
+        self.applied
+    }
+
     /// Returns the log, which may include uncommitted entries.
     pub fn log(&self) -> &ReplicatedLog {
         &self.log
@@ -276,16 +299,20 @@
     /// Returns the commit index if this node is certain that it is the latest at `now`.
     ///
     /// This requires that the node holds the lease, and that it has committed an entry of
-    /// its own term; until then it may not know all entries that earlier leaders committed.
+    /// its own term; until then it may not know all entries that earlier leaders committed. All
+    /// committed entries must have been handed out to be applied.
     pub fn confirmed_commit(&self, now: ClockTime) -> Option<u64> {
         self.lease_until(now)?;
-        (self.commit >= self.term_start).then_some(self.commit)
+        let confirmed = self.commit >= self.term_start && self.applied >= self.commit;
+        confirmed.then_some(self.commit)
     }
 
     /// Starts an election, sends heartbeats or steps down, if the time for it has come.
     ///
     /// Call it regularly, at shorter intervals than `heartbeat_ms`.
     pub fn tick(&mut self, now: ClockTime, out: &mut Vec<ConsensusOutput>) {
+        self.apply_budget = APPLY_BYTES_PER_TICK;
+        self.apply_committed(out);
         if self.role == NodeRole::Leader {
             self.check_quorum(now, out);
         }
@@ -414,12 +441,19 @@
         });
     }
 
-    /// Outputs the committed entries that weren't applied yet.
+    /// Outputs the committed entries that weren't applied yet. Evicted ones that exceed the budget
+    /// follow at later ticks, so that the caller needn't hold all of them at once.
     pub(super) fn apply_committed(&mut self, out: &mut Vec<ConsensusOutput>) {
         while self.applied < self.commit {
             let Some(entry) = self.log.entry(self.applied + 1) else {
                 return;
             };
+            if let EntryBody::Stored(length) = entry.body {
+                if self.apply_budget == 0 {
+                    return;
+                }
+                self.apply_budget = self.apply_budget.saturating_sub(length as usize);
+            }
             self.applied += 1;
             out.push(ConsensusOutput::Apply(entry.clone()));
         }
--- a/crates/coordination/src/consensus/proposal.rs
+++ b/crates/coordination/src/consensus/proposal.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 
 use super::log::LogSnapshot;
+use super::log::SnapshotData;
 use super::membership::GroupMembership;
 use super::message::ConsensusMessage;
 use super::message::EntryBody;
@@ -29,7 +30,7 @@
             index: 1,
             term: 1,
             membership,
-            data: Bytes::new(),
+            data: SnapshotData::default(),
         };
         self.log.install(snapshot.clone());
         self.commit = 1;
@@ -102,17 +103,18 @@
         Ok(self.append_as_leader(now, EntryBody::Membership(membership), out))
     }
 
-    /// Replaces the entries up to `index` by a snapshot.
+    /// Drops the entries up to `index`, at which a snapshot of the state machine is in storage.
     ///
-    /// `data` is the serialised state of the state machine at `index`. Does nothing if
-    /// `index` isn't applied yet, or was compacted already.
-    pub fn compact(&mut self, index: u64, data: Bytes, out: &mut Vec<ConsensusOutput>) {
-        if index > self.applied {
-            return;
-        }
-        if let Some(snapshot) = self.log.compact(index, data) {
-            out.push(ConsensusOutput::SaveSnapshot(snapshot));
-        }
+    /// Returns whether there were any. Does nothing if `index` isn't applied yet, or was compacted
+    /// already.
+    pub fn compact(&mut self, index: u64) -> bool {
+        index <= self.applied && self.log.compact(index)
+    }
+
+    /// Drops the oldest commands of the log from memory until at most `keep_bytes` bytes of
+    /// commands remain. Commands that aren't known to be durable on this node are kept.
+    pub fn evict_commands(&mut self, keep_bytes: usize) {
+        self.log.evict_commands(self.synced, keep_bytes);
     }
 
     /// Releases the lease and asks the voter with the most complete log to start an election.
--- a/crates/coordination/src/consensus/replication.rs
+++ b/crates/coordination/src/consensus/replication.rs
@@ -22,13 +22,25 @@
 /// reached, the peer is sent only heartbeats.
 const MAX_UNANSWERED_BYTES: usize = 4 * 1024 * 1024;
 
-/// Returns the total size of the commands in `entries`, in bytes.
-fn command_bytes(entries: &[LogEntry]) -> usize {
-    let sizes = entries.iter().map(|entry| match &entry.body {
+/// Time without an answer after which a peer is sent a snapshot again, in milliseconds.
+const SNAPSHOT_RETRY_MS: u64 = 2_000;
+
+/// Returns the size of the command of an entry, in bytes.
+fn command_bytes(entry: &LogEntry) -> usize {
+    match &entry.body {
         EntryBody::Command(command) => command.len(),
+        EntryBody::Stored(length) => *length as usize,
         EntryBody::Noop | EntryBody::Membership(_) => 0,
-    });
-    sizes.sum()
+    }
+}
+
+/// Returns whether the commands in `entries` are smaller than `limit` bytes in total.
+fn is_smaller(entries: &[LogEntry], limit: usize) -> bool {
+    let mut bytes = 0;
+    entries.iter().all(|entry| {
+        bytes += command_bytes(entry);
+        bytes < limit
+    })
 }
 
 /// Returns the first entries that fit into one message, at least one if there is any.
@@ -36,7 +48,7 @@
     let mut bytes = 0;
     let fits = |entry: &&LogEntry| {
         let before = bytes;
-        bytes += command_bytes(std::slice::from_ref(entry));
+        bytes += command_bytes(entry);
         before < APPEND_BATCH_BYTES
     };
     entries.iter().take_while(fits).cloned().collect()
@@ -49,8 +61,8 @@
     pub(super) next: u64,
     /// Index up to which the peer's durable log is known to match.
     pub(super) matched: u64,
-    /// Heartbeat round of the last snapshot sent, since at most one is sent per round.
-    snapshot_round: u64,
+    /// When the last snapshot was sent, until the peer has answered it.
+    snapshot_sent_at: Option<ClockTime>,
 }
 
 impl ConsensusNode {
@@ -77,7 +89,7 @@
     pub(super) fn broadcast(&mut self, now: ClockTime, out: &mut Vec<ConsensusOutput>) {
         self.rounds.start(now);
         self.heartbeat_due = now + self.config.heartbeat_ms;
-        self.send_to_members(true, out);
+        self.send_to_members(now, true, out);
     }
 
     /// Sends new entries to the peers within the current heartbeat round.
@@ -85,47 +97,90 @@
         if self.rounds.current() == 0 {
             self.rounds.start(now);
         }
-        self.send_to_members(false, out);
+        self.send_to_members(now, false, out);
     }
 
     /// Sends every peer the entries that it lacks.
     ///
     /// A peer that lacks none gets an empty append if `send_empty` is set.
-    fn send_to_members(&mut self, send_empty: bool, out: &mut Vec<ConsensusOutput>) {
+    fn send_to_members(
+        &mut self,
+        now: ClockTime,
+        send_empty: bool,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
         let membership = self.membership().clone();
         self.progress.retain(|node, _| membership.contains(*node));
         for (node, _) in membership.members() {
             if node != self.node {
-                self.send_append(node, send_empty, out);
+                self.send_append(now, node, send_empty, out);
             }
         }
     }
 
+    /// Sends one peer the snapshot that the log begins after, since the entries that it lacks were
+    /// compacted. While an earlier one is unanswered, an empty append serves as the heartbeat.
+    fn send_snapshot(
+        &mut self,
+        now: ClockTime,
+        to: NodeId,
+        send_empty: bool,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
+        let snapshot = self.log.snapshot();
+        let (term, round) = (self.vote.term, self.rounds.current());
+        let (prev_index, prev_term) = (snapshot.index, snapshot.term);
+        let sent_at = self
+            .progress
+            .get_mut(&to)
+            .map(|progress| &mut progress.snapshot_sent_at);
+        let Some(sent_at) = sent_at else {
+            return;
+        };
+        if sent_at.is_none_or(|time| now.since(time) >= SNAPSHOT_RETRY_MS) {
+            *sent_at = Some(now);
+            let message = ConsensusMessage::Snapshot {
+                term,
+                snapshot: snapshot.clone(),
+                round,
+            };
+            out.push(ConsensusOutput::Send { to, message });
+        } else if send_empty {
+            let message = ConsensusMessage::Append {
+                term,
+                prev_index,
+                prev_term,
+                entries: Vec::new(),
+                commit: self.commit,
+                round,
+            };
+            out.push(ConsensusOutput::Send { to, message });
+        }
+    }
+
     /// Sends one peer the entries that it lacks, or a snapshot if they were compacted.
-    fn send_append(&mut self, to: NodeId, send_empty: bool, out: &mut Vec<ConsensusOutput>) {
+    fn send_append(
+        &mut self,
+        now: ClockTime,
+        to: NodeId,
+        send_empty: bool,
+        out: &mut Vec<ConsensusOutput>,
+    ) {
         let initial = PeerProgress {
             next: self.log.last_index().max(1),
             matched: 0,
-            snapshot_round: 0,
+            snapshot_sent_at: None,
         };
         let round = self.rounds.current();
         let progress = self.progress.entry(to).or_insert(initial);
         let prev_index = progress.next - 1;
         let Some(prev_term) = self.log.term_at(prev_index) else {
-            if progress.snapshot_round < round {
-                progress.snapshot_round = round;
-                let message = ConsensusMessage::Snapshot {
-                    term: self.vote.term,
-                    snapshot: self.log.snapshot().clone(),
-                    round,
-                };
-                out.push(ConsensusOutput::Send { to, message });
-            }
+            self.send_snapshot(now, to, send_empty, out);
             return;
         };
         let sent = (progress.next - 1).saturating_sub(progress.matched) as usize;
-        let unanswered = command_bytes(self.log.slice(progress.matched + 1, sent));
-        let entries = match unanswered < MAX_UNANSWERED_BYTES {
+        let unanswered = self.log.slice(progress.matched + 1, sent);
+        let entries = match is_smaller(unanswered, MAX_UNANSWERED_BYTES) {
             true => take_batch(self.log.slice(progress.next, APPEND_BATCH_ENTRIES)),
             false => Vec::new(),
         };
@@ -217,8 +272,8 @@
             })
             .collect();
         if !new.is_empty() {
+            self.synced = self.synced.min(new[0].index - 1);
             self.log.append(new.clone());
-            self.synced = self.log.last_index();
             out.push(ConsensusOutput::AppendEntries(new));
         }
         let matched = last_sent.max(start);
@@ -249,7 +304,7 @@
             self.log.install(snapshot.clone());
             self.commit = index;
             self.applied = index;
-            self.synced = self.log.last_index();
+            self.synced = self.synced.max(index).min(self.log.last_index());
             out.push(ConsensusOutput::SaveSnapshot(snapshot.clone()));
             out.push(ConsensusOutput::Restore(snapshot));
         }
@@ -282,6 +337,9 @@
             Some(index) => {
                 progress.matched = progress.matched.max(index);
                 progress.next = progress.next.max(progress.matched + 1);
+                if index >= self.log.snapshot().index {
+                    progress.snapshot_sent_at = None;
+                }
                 self.advance_commit(now, out);
             }
             // A rejection of entries that have matched since then arrived late.
@@ -290,7 +348,7 @@
             }
             None => return,
         }
-        self.send_append(from, false, out);
+        self.send_append(now, from, false, out);
     }
 
     /// Commits the entries that a quorum has made durable.
--- a/crates/coordination/src/consensus/tests.rs
+++ b/crates/coordination/src/consensus/tests.rs
@@ -20,15 +20,28 @@
 /// Time that passes in one simulation step.
 const STEP_MS: u64 = 10;
 
+/// Size of the commands that a node keeps in memory, in bytes.
+const KEPT_BYTES: usize = 16;
+
 /// Contents of a data folder.
 #[derive(Debug, Clone, Default)]
 struct Disk {
     vote: VoteRecord,
+    /// Snapshot that the log begins after.
+    base: LogSnapshot,
+    /// Newest snapshot.
     snapshot: LogSnapshot,
     entries: Vec<LogEntry>,
 }
 
 impl Disk {
+    /// Makes `snapshot` the only one.
+    fn begin_after(&mut self, snapshot: LogSnapshot) {
+        assert!(snapshot.data.inline().is_some(), "snapshot without data");
+        self.base = snapshot.clone();
+        self.snapshot = snapshot;
+    }
+
     fn save(&mut self, output: &ConsensusOutput) {
         match output {
             ConsensusOutput::SaveVote(vote) => self.vote = *vote,
@@ -36,24 +49,70 @@
                 let first = entries[0].index;
                 self.entries.retain(|entry| entry.index < first);
                 self.entries.extend(entries.iter().cloned());
+                let stored = |it: &LogEntry| matches!(it.body, EntryBody::Stored(_));
+                assert!(!entries.iter().any(stored), "entry without its command");
             }
             ConsensusOutput::SaveSnapshot(snapshot) => {
                 let matches = self
                     .entries
                     .iter()
                     .any(|it| it.index == snapshot.index && it.term == snapshot.term);
-                if matches || self.snapshot.index == snapshot.index {
+                if matches || self.base.index == snapshot.index {
                     self.entries.retain(|entry| entry.index > snapshot.index);
                 } else {
                     let covers = snapshot.index < self.snapshot.index;
                     assert!(!covers, "snapshot is older than the stored one");
                     self.entries.clear();
                 }
-                self.snapshot = snapshot.clone();
+                self.begin_after(snapshot.clone());
             }
             _ => {}
         }
     }
+
+    /// Makes the newest snapshot the base.
+    fn release(&mut self) {
+        let index = self.snapshot.index;
+        self.entries.retain(|entry| entry.index > index);
+        self.base = self.snapshot.clone();
+    }
+
+    /// Reads the command of an entry if the node holds it no longer. Returns whether the entry
+    /// has it.
+    fn load(&self, entry: &mut LogEntry) -> bool {
+        let EntryBody::Stored(length) = entry.body else {
+            return true;
+        };
+        let stored = self.entries.iter().find(|it| it.index == entry.index);
+        let Some(stored) = stored else {
+            return false;
+        };
+        assert_eq!(stored.term, entry.term, "stored entry was replaced");
+        let EntryBody::Command(command) = &stored.body else {
+            panic!("stored entry has no command");
+        };
+        assert_eq!(command.len(), length as usize);
+        entry.body = stored.body.clone();
+        true
+    }
+
+    /// Reads what a message lacks. Returns whether it is complete.
+    fn complete(&self, message: &mut ConsensusMessage) -> bool {
+        match message {
+            ConsensusMessage::Append { entries, .. } => {
+                entries.iter_mut().all(|entry| self.load(entry))
+            }
+            ConsensusMessage::Snapshot { snapshot, .. } => {
+                assert_eq!(snapshot.data, SnapshotData::Stored);
+                let found = snapshot.index == self.base.index;
+                if found {
+                    *snapshot = self.base.clone();
+                }
+                found
+            }
+            _ => true,
+        }
+    }
 }
 
 struct Member {
@@ -109,7 +168,8 @@
 }
 
 /// Returns the state hash in a snapshot, or zero for the empty first snapshot of a group.
-fn read_hash(data: &[u8]) -> u64 {
+fn read_hash(data: &SnapshotData) -> u64 {
+    let data = data.inline().expect("snapshot without data");
     data.first_chunk().map_or(0, |it| u64::from_le_bytes(*it))
 }
 
@@ -117,6 +177,7 @@
 fn body_value(body: &EntryBody) -> u64 {
     match body {
         EntryBody::Noop => 1,
+        EntryBody::Stored(_) => panic!("applied entry without its command"),
         EntryBody::Command(bytes) => u64::from_le_bytes(bytes[..8].try_into().unwrap()),
         EntryBody::Membership(membership) => membership
             .members()
@@ -154,12 +215,12 @@
         };
         for id in 1..=voters {
             let member = harness.members.get_mut(&NodeId(id)).unwrap();
-            member.disk.snapshot = LogSnapshot {
+            member.disk.begin_after(LogSnapshot {
                 index: 1,
                 term: 1,
                 membership: membership.clone(),
-                data: Bytes::new(),
-            };
+                data: SnapshotData::default(),
+            });
             member.disk.vote.term = 1;
         }
         harness.history.insert(1, 0);
@@ -208,7 +269,8 @@
         let start = NodeStart {
             node: id,
             vote: disk.vote,
-            log: ReplicatedLog::new(disk.snapshot.clone(), disk.entries.clone()),
+            log: ReplicatedLog::new(disk.base.clone(), disk.entries.clone()),
+            applied: disk.snapshot.index,
             seed,
         };
         member.node = Some(ConsensusNode::new(now, config, start));
@@ -254,8 +316,15 @@
                 continue;
             }
             match output {
-                ConsensusOutput::Send { to, message } => self.send(id, to, message),
-                ConsensusOutput::Apply(entry) => self.apply(id, &entry),
+                ConsensusOutput::Send { to, mut message } => {
+                    if member.disk.complete(&mut message) {
+                        self.send(id, to, message);
+                    }
+                }
+                ConsensusOutput::Apply(mut entry) => {
+                    assert!(member.disk.load(&mut entry), "committed entry is missing");
+                    self.apply(id, &entry);
+                }
                 ConsensusOutput::Restore(snapshot) => {
                     member.hash = read_hash(&snapshot.data);
                     member.applied = snapshot.index;
@@ -288,13 +357,17 @@
                 .disk
                 .entries
                 .last()
-                .map_or(member.disk.snapshot.index, |it| it.index);
+                .map_or(member.disk.base.index, |it| it.index);
             let now = self.local_time(id);
             let mut out = Vec::new();
             let node = self.members.get_mut(&id).unwrap().node.as_mut().unwrap();
             node.mark_synced(now, last, &mut out);
             self.execute_outputs(id, out, None);
         }
+        if let Some(node) = &mut self.members.get_mut(&id).unwrap().node {
+            node.evict_commands(KEPT_BYTES);
+            assert!(node.log().held_bytes() <= KEPT_BYTES);
+        }
     }
 
     /// Applies an entry, and compares the new state with that of the other members.
@@ -456,10 +529,25 @@
         if node.confirmed_commit(self.local_time(id)).is_some() {
             self.confirmed.push((node.commit_index(), member.hash));
         }
-        if member.applied > node.log().snapshot().index + 40 {
-            let (applied, hash) = (member.applied, member.hash);
-            let data = Bytes::copy_from_slice(&hash.to_le_bytes());
-            self.call_node(id, |node, _, out| node.compact(applied, data, out));
+        self.take_snapshot(id);
+    }
+
+    /// Stores a snapshot of a member now and then, and sometimes lets it become the base.
+    fn take_snapshot(&mut self, id: NodeId) {
+        let member = self.members.get_mut(&id).unwrap();
+        let (Some(node), disk) = (member.node.as_mut(), &mut member.disk) else {
+            return;
+        };
+        if member.applied > disk.snapshot.index + 15 {
+            let data = Bytes::copy_from_slice(&member.hash.to_le_bytes());
+            disk.snapshot = LogSnapshot {
+                data: SnapshotData::Inline(data),
+                ..node.log().snapshot_at(member.applied).unwrap()
+            };
+        }
+        if disk.snapshot.index > disk.base.index + 30 {
+            disk.release();
+            assert!(node.compact(disk.snapshot.index));
         }
     }
 
@@ -529,7 +617,7 @@
                 EntryBody::Membership(membership) => Some(membership),
                 _ => None,
             });
-            let mut memberships = entries.chain([&member.disk.snapshot.membership]);
+            let mut memberships = entries.chain([&member.disk.base.membership]);
             memberships.all(|membership| {
                 let voters = &membership.voters;
                 voters.keys().filter(|node| lost(node)).count() * 2 < voters.len().max(1)
@@ -612,6 +700,7 @@
                 harness.members[&NodeId(1)].disk.snapshot.clone(),
                 Vec::new(),
             ),
+            applied: 0,
             seed: 1,
         },
     );
@@ -653,7 +742,7 @@
         index: 1,
         term: 1,
         membership: three_voters(),
-        data: Bytes::new(),
+        data: SnapshotData::default(),
     };
     let start = NodeStart {
         node: NodeId(1),
@@ -662,6 +751,7 @@
             voted_for: None,
         },
         log: ReplicatedLog::new(snapshot, Vec::new()),
+        applied: 0,
         seed: 7,
     };
     ConsensusNode::new(now, ConsensusConfig::default(), start)
@@ -762,6 +852,7 @@
         node: NodeId(1),
         vote: VoteRecord::default(),
         log: ReplicatedLog::new(disk.snapshot.clone(), disk.entries.clone()),
+        applied: 0,
         seed: 1,
     };
     let mut node = ConsensusNode::new(ClockTime(0), ConsensusConfig::default(), start);
--- a/crates/daemon/src/control/asks.rs
+++ b/crates/daemon/src/control/asks.rs
@@ -145,7 +145,11 @@
             true => {
                 let next = ask.applied + 1;
                 let count = (self.state.index + 1).saturating_sub(next) as usize;
-                let entries = log.slice(next, count.min(MAX_CATCH_UP_ENTRIES));
+                let entries = voter.read_entries(next, count.min(MAX_CATCH_UP_ENTRIES));
+                let entries = entries.inspect_err(|error| {
+                    spdlog::error!("consensus: could not read the log: {error}");
+                });
+                let entries = entries.ok()?;
                 CatchUp::Entries(entries.iter().map(LogEntryWire::from).collect())
             }
             false => CatchUp::State(ByteBuf::from(write_state(&self.state).as_ref())),
--- a/crates/daemon/src/control/outputs.rs
+++ b/crates/daemon/src/control/outputs.rs
@@ -15,6 +15,7 @@
 use bergamotlane_coordination::consensus::ConsensusOutput;
 use bergamotlane_coordination::consensus::EntryBody;
 use bergamotlane_coordination::consensus::LogEntry;
+use bergamotlane_coordination::consensus::LogSnapshot;
 use bergamotlane_coordination::consensus::NodeRole;
 use bergamotlane_coordination::ident::NodeId;
 use bergamotlane_coordination::ident::RunId;
@@ -42,6 +43,11 @@
     ControlState::try_from(wire)
 }
 
+/// Returns the data of a snapshot that was read from disk or received; nothing if it has none.
+fn inline_data(snapshot: &LogSnapshot) -> &[u8] {
+    snapshot.data.inline().map_or(&[], |data| data)
+}
+
 /// Encodes the control state as snapshot data.
 pub(super) fn write_state(state: &ControlState) -> Bytes {
     codec::encode(&ControlStateWire::from(state))
@@ -53,16 +59,17 @@
         let Some(voter) = &self.voter else {
             return;
         };
-        let snapshot = voter.node.log().snapshot();
-        let index = snapshot.index;
-        match read_state(&snapshot.data) {
-            Ok(state) => {
-                self.state = state;
-                self.state.skip(index);
-            }
-            Err(error) => {
-                spdlog::error!("consensus: could not decode the snapshot on disk: {error}")
-            }
+        match voter.read_snapshot() {
+            Ok(snapshot) => match read_state(inline_data(&snapshot)) {
+                Ok(state) => {
+                    self.state = state;
+                    self.state.skip(snapshot.index);
+                }
+                Err(error) => {
+                    spdlog::error!("consensus: could not decode the snapshot on disk: {error}")
+                }
+            },
+            Err(error) => spdlog::error!("consensus: could not read the snapshot: {error}"),
         }
         self.follower.membership = voter.node.membership().clone();
     }
@@ -97,7 +104,7 @@
             ConsensusOutput::Apply(entry) => self.apply(entry),
             ConsensusOutput::Restore(snapshot) => {
                 if snapshot.index > self.state.index {
-                    self.install_state(snapshot.index, &snapshot.data);
+                    self.install_state(snapshot.index, inline_data(&snapshot));
                 }
                 self.follower.membership = snapshot.membership;
                 self.dial_members();
@@ -185,6 +192,10 @@
                     self.state.skip(index);
                 }
             },
+            EntryBody::Stored(_) => {
+                spdlog::error!("consensus: entry {index} came without its command");
+                return;
+            }
         }
         self.publish.changed |= is_change;
         self.complete_pending(index, entry.term, outcome);
@@ -292,10 +303,17 @@
             return;
         }
         let index = self.state.index;
-        let data = write_state(&self.state);
-        let mut outputs = Vec::new();
-        voter.node.compact(index, data, &mut outputs);
-        if let Err(error) = voter.persist(now(), outputs) {
+        let Some(writer) = voter.start_snapshot(index) else {
+            return;
+        };
+        let taken = match writer.write(&write_state(&self.state)) {
+            Ok(written) => {
+                voter.finish_snapshot(written);
+                voter.release_log(index + 1)
+            }
+            Err(error) => Err(error),
+        };
+        if let Err(error) = taken {
             self.on_storage_failure(&error);
         }
     }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -47,6 +47,9 @@
 use bergamotlane_wire::peer::HelloFrame;
 use bergamotlane_wire::peer::PROTOCOL_VERSION;
 
+/// Size of the youngest commands of the log that are kept in memory, in bytes.
+const LOG_TAIL_BYTES: usize = 8 * 1024 * 1024;
+
 /// Time within which a connection to a target must be established.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
 
@@ -120,6 +123,7 @@
         node: NodeId(folder.identity().node),
         vote: content.vote,
         log: content.log,
+        applied: content.applied,
         seed: rand::random(),
     };
     spdlog::info!(
@@ -132,6 +136,7 @@
         node,
         folder,
         snapshots: SnapshotThresholds::default(),
+        log_tail_bytes: LOG_TAIL_BYTES,
     }))
 }
 
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -1,87 +1,44 @@
 //! Data folder of a consensus node.
 //!
-//! The folder holds the node's identity, one snapshot, and log segments that are numbered in the
-//! order of their creation. A lock file keeps other processes out.
+//! The folder holds the node's identity, snapshots, and log segments that are numbered in the
+//! order of their creation. The log begins after the oldest snapshot, its base. A lock file keeps
+//! other processes out.
 
 use std::fs;
 use std::fs::File;
-use std::fs::OpenOptions;
-use std::io;
-use std::io::Write;
+use std::ops::Range;
 use std::path::Path;
 use std::path::PathBuf;
 
+use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
-use thiserror::Error;
 
+use super::error::StorageError;
+use super::error::decode_error;
+use super::error::io_error;
 use super::file::replace_file;
-use super::file::sync_parent;
+use super::places::PlaceTable;
 use super::record;
-use super::recovery::entries_after_snapshot;
-use super::recovery::read_segment;
+use super::recovery::LogReplay;
+use super::recovery::place_entries;
 use super::recovery::read_single_record;
-use super::recovery::read_snapshot;
+use super::segments::SegmentSet;
+use super::snapshots::SnapshotSet;
+use super::snapshots::SnapshotWriter;
+use super::snapshots::WrittenSnapshot;
 use bergamotlane_coordination::consensus::ConsensusOutput;
+use bergamotlane_coordination::consensus::EntryBody;
 use bergamotlane_coordination::consensus::LogEntry;
 use bergamotlane_coordination::consensus::LogSnapshot;
 use bergamotlane_coordination::consensus::ReplicatedLog;
+use bergamotlane_coordination::consensus::SnapshotData;
 use bergamotlane_coordination::consensus::VoteRecord;
 use bergamotlane_coordination::ident::NodeId;
 use bergamotlane_wire::LogEntryWire;
-use bergamotlane_wire::LogSnapshotWire;
-use bergamotlane_wire::VoteRecordWire;
 use bergamotlane_wire::codec;
-use bergamotlane_wire::codec::WireError;
 
 const IDENTITY_FILE: &str = "identity";
-const SNAPSHOT_FILE: &str = "snapshot";
-const SEGMENT_PREFIX: &str = "log-";
-
-/// Reason why a data folder can't be opened, read or written.
-#[derive(Debug, Error)]
-pub enum StorageError {
-    /// A file operation failed.
-    #[error("could not {action} {path}: {source}")]
-    Io {
-        /// Verb that completes "could not ... {path}", for example `open`.
-        action: &'static str,
-        /// File or folder on which the operation failed.
-        path: PathBuf,
-        /// Error of the operating system.
-        source: io::Error,
-    },
-    /// A file is damaged in a way that a crash during a write can't cause.
-    #[error("{path} is damaged at byte {offset}; restore the folder or start with an empty one")]
-    Damaged {
-        /// Damaged file.
-        path: PathBuf,
-        /// Byte offset at which the first damaged record starts.
-        offset: usize,
-    },
-    /// A record has a valid checksum, but its payload isn't of the expected type.
-    #[error("could not decode {path}: {source}")]
-    Decode {
-        /// File that holds the record.
-        path: PathBuf,
-        /// Why the payload was rejected.
-        source: WireError,
-    },
-    /// Entries are missing between the snapshot and the log, or within the log.
-    #[error(
-        "entries are missing from the log in {path}: indexes after the snapshot are not consecutive"
-    )]
-    Gap {
-        /// Data folder.
-        path: PathBuf,
-    },
-    /// Another process holds the lock of the folder.
-    #[error("{path} is in use by another process")]
-    InUse {
-        /// Data folder.
-        path: PathBuf,
-    },
-}
 
 /// Node and cluster that a data folder belongs to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,15 +54,10 @@
 pub struct FolderContent {
     /// Latest stored term and vote.
     pub vote: VoteRecord,
-    /// Snapshot and the entries that follow it.
+    /// Base of the log and the entries that follow it, whose commands are only on disk.
     pub log: ReplicatedLog,
-}
-
-/// Record of a log segment.
-#[derive(Debug, Serialize, Deserialize)]
-pub(super) enum LogRecord {
-    Vote(VoteRecordWire),
-    Entries(Vec<LogEntryWire>),
+    /// Index of the newest snapshot, which the state machine is restored from.
+    pub applied: u64,
 }
 
 /// An open and locked data folder.
@@ -115,14 +67,13 @@
     identity: FolderIdentity,
     /// Keeps the folder locked while it is open.
     _lock: File,
-    segment: File,
-    segment_path: PathBuf,
-    segment_number: u64,
-    segment_bytes: u64,
-    /// Whether the segment has records that aren't synced yet.
-    unsynced: bool,
-    /// Copied into each new segment, since the old ones are removed.
-    vote: VoteRecord,
+    segments: SegmentSet,
+    snapshots: SnapshotSet,
+    places: PlaceTable,
+    /// Size of the entries' records since the newest snapshot, in bytes.
+    recent_bytes: u64,
+    /// The same size when the snapshot that is being written was started.
+    started_bytes: u64,
 }
 
 impl DataFolder {
@@ -130,7 +81,7 @@
     /// `new_node`.
     ///
     /// An incomplete record at the end of the log is truncated. It was never synced, so the node
-    /// can't have acknowledged it.
+    /// can't have acknowledged it. Of the log's commands, one record is in memory at a time.
     ///
     /// # Errors
     ///
@@ -140,35 +91,45 @@
         fs::create_dir_all(path).map_err(io_error("create", path))?;
         let lock = lock_folder(path)?;
         let identity = read_identity(path, new_node)?;
-        let snapshot = read_snapshot(&path.join(SNAPSHOT_FILE))?;
-        let mut vote = VoteRecord::default();
-        let mut entries = Vec::new();
-        let segments = list_segments(path)?;
-        for (position, (_, segment)) in segments.iter().enumerate() {
-            let is_last = position + 1 == segments.len();
-            read_segment(segment, is_last, &mut vote, &mut entries)?;
+        let snapshots = SnapshotSet::open(path)?;
+        let newest = read_header(&snapshots, snapshots.newest())?;
+        let mut base = read_header(&snapshots, snapshots.oldest())?;
+        let replay = LogReplay::read(path, base.index, newest.index)?;
+        let is_replaced = !replay.agrees_with(&newest);
+        if !is_replaced && replay.has_gap() {
+            let path = path.to_owned();
+            return Err(StorageError::Gap { path });
         }
-        let entries = entries_after_snapshot(path, &snapshot, entries)?;
-        let segment_number = segments.last().map_or(1, |(number, _)| *number);
-        let segment_path = segment_path(path, segment_number);
-        let segment = open_segment(&segment_path)?;
-        let segment_bytes = segment
-            .metadata()
-            .map_err(io_error("inspect", &segment_path))?
-            .len();
-        let folder = Self {
+        let mut folder = Self {
             path: path.to_owned(),
             identity,
             _lock: lock,
-            segment,
-            segment_path,
-            segment_number,
-            segment_bytes,
-            unsynced: false,
-            vote,
+            segments: SegmentSet::open(path, replay.segments, replay.vote)?,
+            snapshots,
+            places: PlaceTable::new(base.index),
+            recent_bytes: replay.recent_bytes,
+            started_bytes: 0,
         };
-        let log = ReplicatedLog::new(snapshot, entries);
-        Ok((folder, FolderContent { vote, log }))
+        let mut entries = replay.entries;
+        if is_replaced {
+            folder.replace_log(&newest)?;
+            entries = Vec::new();
+            base = newest.clone();
+        }
+        for (entry, place) in entries.iter().zip(replay.places) {
+            folder.places.push(entry.index, entry.term, place);
+        }
+        let content = FolderContent {
+            vote: replay.vote,
+            log: ReplicatedLog::new(base, entries),
+            applied: newest.index,
+        };
+        Ok((folder, content))
+    }
+
+    /// Returns the path of the folder.
+    pub fn path(&self) -> &Path {
+        &self.path
     }
 
     /// Returns the node and cluster that the folder belongs to.
@@ -176,9 +137,34 @@
         self.identity
     }
 
-    /// Returns the size of the current log segment in bytes. Each snapshot starts a new segment.
+    /// Returns the size of the log's segments in bytes.
     pub fn log_bytes(&self) -> u64 {
-        self.segment_bytes
+        self.segments.bytes()
+    }
+
+    /// Returns the size of segments and snapshots in bytes.
+    pub fn disk_bytes(&self) -> u64 {
+        self.segments.bytes() + self.snapshots.bytes()
+    }
+
+    /// Returns the size of the entries since the newest snapshot, in bytes on disk.
+    pub fn recent_bytes(&self) -> u64 {
+        self.recent_bytes
+    }
+
+    /// Returns the index of the last stored entry, or that of the base if no entry follows it.
+    pub fn last_index(&self) -> u64 {
+        self.places.last_index()
+    }
+
+    /// Returns the index of the newest snapshot, or zero if there is none.
+    pub fn newest_snapshot(&self) -> u64 {
+        self.snapshots.newest()
+    }
+
+    /// Returns whether a snapshot was started and neither finished nor abandoned.
+    pub fn is_writing_snapshot(&self) -> bool {
+        self.snapshots.is_writing()
     }
 
     /// Durably assigns the folder to a cluster.
@@ -195,28 +181,18 @@
 
     /// Stores an output of the consensus node, and ignores outputs that aren't durable.
     ///
-    /// Votes and entries are durable only after [`Self::sync`]. A snapshot is durable on return;
-    /// `tail` holds the entries that follow it and is used for snapshots only.
+    /// Votes and entries are durable only after [`Self::sync`]. A snapshot, which must have its
+    /// data, is durable on return; it replaces all others and the log up to it.
     ///
     /// # Errors
     ///
     /// Returns an error if a file can't be written. The folder must not be used any more then,
     /// since a record may have been written in part.
-    pub fn save(
-        &mut self,
-        output: &ConsensusOutput,
-        tail: &[LogEntry],
-    ) -> Result<(), StorageError> {
+    pub fn save(&mut self, output: &ConsensusOutput) -> Result<(), StorageError> {
         match output {
-            ConsensusOutput::SaveVote(vote) => {
-                self.vote = *vote;
-                self.append(&LogRecord::Vote(VoteRecordWire::from(vote)))
-            }
-            ConsensusOutput::AppendEntries(entries) => {
-                let entries = entries.iter().map(LogEntryWire::from).collect();
-                self.append(&LogRecord::Entries(entries))
-            }
-            ConsensusOutput::SaveSnapshot(snapshot) => self.save_snapshot(snapshot, tail),
+            ConsensusOutput::SaveVote(vote) => self.segments.save_vote(*vote),
+            ConsensusOutput::AppendEntries(entries) => self.append(entries),
+            ConsensusOutput::SaveSnapshot(snapshot) => self.install(snapshot),
             _ => Ok(()),
         }
     }
@@ -228,71 +204,146 @@
     /// Returns an error if the sync fails. Records stored since the last successful sync may be
     /// lost then.
     pub fn sync(&mut self) -> Result<(), StorageError> {
-        if !self.unsynced {
-            return Ok(());
+        self.segments.sync()
+    }
+
+    /// Reads part of the command of an entry; `None` if the folder has no such entry or range.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the segment can't be read.
+    pub fn read_command(
+        &self,
+        index: u64,
+        range: Range<u32>,
+    ) -> Result<Option<Bytes>, StorageError> {
+        let Some(place) = self.places.place(index) else {
+            return Ok(None);
+        };
+        if range.start > range.end || range.end > place.length {
+            return Ok(None);
         }
-        self.segment
-            .sync_data()
-            .map_err(io_error("sync", &self.segment_path))?;
-        self.unsynced = false;
-        Ok(())
+        let length = range.end - range.start;
+        self.segments.read(place, range.start, length).map(Some)
     }
 
-    fn append(&mut self, record: &LogRecord) -> Result<(), StorageError> {
-        let framed = record::frame(&codec::encode(record));
-        self.segment
-            .write_all(&framed)
-            .map_err(io_error("append to", &self.segment_path))?;
-        self.segment_bytes += framed.len() as u64;
-        self.unsynced = true;
-        Ok(())
+    /// Reads the snapshot at `index` with its data, or returns `None` if there is none.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file can't be read, or is damaged.
+    pub fn read_snapshot(&self, index: u64) -> Result<Option<LogSnapshot>, StorageError> {
+        self.snapshots.read(index)
+    }
+
+    /// Returns a writer for a snapshot whose data follows; `None` if one is being written, or a
+    /// stored one is as new.
+    pub fn start_snapshot(&mut self, snapshot: LogSnapshot) -> Option<SnapshotWriter> {
+        let writer = self.snapshots.start(snapshot)?;
+        self.started_bytes = self.recent_bytes;
+        // The entries that the snapshot covers can be removed without those that follow.
+        self.segments.rotate_later();
+        Some(writer)
+    }
+
+    /// Adds a snapshot that was written, unless another one has replaced the log meanwhile.
+    pub fn finish_snapshot(&mut self, written: WrittenSnapshot) {
+        if self.snapshots.finish(written) {
+            self.recent_bytes -= self.started_bytes;
+        }
+    }
+
+    /// Lets nothing come of the snapshot that is being written, if any.
+    pub fn abandon_snapshot(&mut self) {
+        self.snapshots.abandon();
     }
 
-    /// Replaces the snapshot, then starts a new segment with the current vote and the entries after
-    /// the snapshot, and removes the old segments.
+    /// Makes the newest snapshot before `first_needed` the base of the log, and removes the
+    /// snapshots, entries and segments before it. Returns the index of the base.
     ///
-    /// The old segments are removed only after the new one is synced, so a crash at any step loses
-    /// nothing.
-    fn save_snapshot(
-        &mut self,
-        snapshot: &LogSnapshot,
-        tail: &[LogEntry],
-    ) -> Result<(), StorageError> {
-        self.sync()?;
-        let path = self.path.join(SNAPSHOT_FILE);
-        let framed = record::frame(&codec::encode(&LogSnapshotWire::from(snapshot)));
-        replace_file(&path, &framed).map_err(io_error("write", &path))?;
-        let old = list_segments(&self.path)?;
-        self.segment_number += 1;
-        self.segment_path = segment_path(&self.path, self.segment_number);
-        self.segment = open_segment(&self.segment_path)?;
-        self.segment_bytes = 0;
-        self.append(&LogRecord::Vote(VoteRecordWire::from(&self.vote)))?;
-        if !tail.is_empty() {
-            let entries = tail.iter().map(LogEntryWire::from).collect();
-            self.append(&LogRecord::Entries(entries))?;
+    /// A crash at any step loses nothing: the base is durable, and what the log begins with is
+    /// removed only after the older snapshots, of which the oldest one needs it.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a file can't be removed. The folder must not be used any more then.
+    pub fn release(&mut self, first_needed: u64) -> Result<u64, StorageError> {
+        let oldest = self.snapshots.oldest();
+        let Some(base) = self.snapshots.newest_before(first_needed) else {
+            return Ok(oldest);
+        };
+        if base > oldest || base > self.places.base() {
+            self.snapshots.remove_before(base)?;
+            self.places.drop_until(base);
+            self.segments.remove_before(self.places.first_segment())?;
         }
+        Ok(base)
+    }
+
+    /// Sets the size of a segment, in bytes, above which the next record begins a new one.
+    #[cfg(test)]
+    pub(super) fn set_segment_bytes(&mut self, bytes: u64) {
+        self.segments.set_segment_bytes(bytes);
+    }
+
+    fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
+        let wires = entries.iter().map(LogEntryWire::from).collect();
+        let appended = self.segments.append_entries(wires)?;
+        let (segment, offset) = (appended.segment, appended.offset);
+        let places = place_entries(entries, &appended.payload, segment, offset);
+        let places = places.map_err(|_| StorageError::Damaged {
+            path: self.path.clone(),
+            offset: offset as usize,
+        })?;
+        for (entry, place) in entries.iter().zip(places) {
+            self.places.push(entry.index, entry.term, place);
+        }
+        self.recent_bytes += appended.bytes();
+        Ok(())
+    }
+
+    /// Stores the snapshot of a leader, or the first one of a group, in place of all others.
+    fn install(&mut self, snapshot: &LogSnapshot) -> Result<(), StorageError> {
         self.sync()?;
-        for (_, path) in old {
-            fs::remove_file(&path).map_err(io_error("remove", &path))?;
+        self.snapshots.save(snapshot)?;
+        if self.places.term(snapshot.index) == Some(snapshot.term) {
+            self.recent_bytes = 0;
+            return self.release(snapshot.index + 1).map(|_| ());
         }
-        sync_parent(&self.segment_path).map_err(io_error("sync", &self.path))
+        self.replace_log(snapshot)
     }
-}
 
-/// Returns a function that converts an I/O error of `action` on `path`.
-pub(super) fn io_error(
-    action: &'static str,
-    path: &Path,
-) -> impl FnOnce(io::Error) -> StorageError {
-    let path = path.to_owned();
-    move |source| StorageError::Io {
-        action,
-        path,
-        source,
+    /// Replaces the log by a stored snapshot, the newest one.
+    ///
+    /// The new segment begins with an entry in place of the last one that the snapshot covers,
+    /// which makes recovery drop all earlier entries, whichever of their segments remain.
+    fn replace_log(&mut self, snapshot: &LogSnapshot) -> Result<(), StorageError> {
+        let index = snapshot.index;
+        self.snapshots.remove_before(index)?;
+        self.segments.rotate()?;
+        let covered = LogEntry {
+            index,
+            term: snapshot.term,
+            body: EntryBody::Noop,
+        };
+        self.segments
+            .append_entries(vec![LogEntryWire::from(&covered)])?;
+        self.segments.remove_before(None)?;
+        self.places = PlaceTable::new(index);
+        self.recent_bytes = 0;
+        Ok(())
     }
 }
 
+/// Reads the snapshot at `index`, or the empty one, and drops its data.
+fn read_header(snapshots: &SnapshotSet, index: u64) -> Result<LogSnapshot, StorageError> {
+    let snapshot = snapshots.read(index)?.unwrap_or_default();
+    Ok(LogSnapshot {
+        data: SnapshotData::Stored,
+        ..snapshot
+    })
+}
+
 /// Locks the folder until the returned file is closed.
 fn lock_folder(path: &Path) -> Result<File, StorageError> {
     let name = path.join("lock");
@@ -326,45 +377,3 @@
     let framed = record::frame(&codec::encode(identity));
     replace_file(&file, &framed).map_err(io_error("write", &file))
 }
-
-/// Returns a function that converts a decoding error in `path`.
-pub(super) fn decode_error(path: &Path) -> impl Fn(WireError) -> StorageError {
-    let path = path.to_owned();
-    move |source| StorageError::Decode {
-        path: path.clone(),
-        source,
-    }
-}
-
-fn segment_path(path: &Path, number: u64) -> PathBuf {
-    path.join(format!("{SEGMENT_PREFIX}{number:016x}"))
-}
-
-/// Opens a segment for appending, and creates it durably if it doesn't exist.
-fn open_segment(path: &Path) -> Result<File, StorageError> {
-    let file = OpenOptions::new()
-        .create(true)
-        .append(true)
-        .open(path)
-        .map_err(io_error("open", path))?;
-    sync_parent(path).map_err(io_error("sync the parent folder of", path))?;
-    Ok(file)
-}
-
-/// Returns number and path of each segment, oldest first.
-fn list_segments(path: &Path) -> Result<Vec<(u64, PathBuf)>, StorageError> {
-    let mut segments = Vec::new();
-    for entry in fs::read_dir(path).map_err(io_error("list", path))? {
-        let entry = entry.map_err(io_error("list", path))?;
-        let name = entry.file_name();
-        let number = name
-            .to_str()
-            .and_then(|name| name.strip_prefix(SEGMENT_PREFIX))
-            .and_then(|digits| u64::from_str_radix(digits, 16).ok());
-        if let Some(number) = number {
-            segments.push((number, entry.path()));
-        }
-    }
-    segments.sort();
-    Ok(segments)
-}
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -1,7 +1,7 @@
 //! Recovery of a data folder when it is opened.
 //!
-//! Reads snapshot and log segments, and truncates a record at the end of the log that a crash left
-//! incomplete.
+//! Reads log segments record by record, keeps where each command lies but not its bytes, and
+//! truncates a record at the end of the log that a crash left incomplete.
 
 use std::fs;
 use std::fs::File;
@@ -15,27 +15,20 @@
 
 use bytes::Bytes;
 
-use super::folder::LogRecord;
-use super::folder::StorageError;
-use super::folder::decode_error;
-use super::folder::io_error;
+use super::error::StorageError;
+use super::error::decode_error;
+use super::error::io_error;
+use super::places::EntryPlace;
 use super::record;
+use super::segments::LogRecord;
+use super::segments::SegmentFile;
+use super::segments::list_segments;
+use bergamotlane_coordination::consensus::EntryBody;
 use bergamotlane_coordination::consensus::LogEntry;
 use bergamotlane_coordination::consensus::LogSnapshot;
 use bergamotlane_coordination::consensus::VoteRecord;
-use bergamotlane_wire::LogSnapshotWire;
 use bergamotlane_wire::codec;
 
-/// Reads the snapshot file. Returns an empty snapshot if the file doesn't exist.
-pub(super) fn read_snapshot(path: &Path) -> Result<LogSnapshot, StorageError> {
-    if !path.exists() {
-        return Ok(LogSnapshot::default());
-    }
-    let payload = read_single_record(path)?;
-    let wire: LogSnapshotWire = codec::decode(&payload).map_err(decode_error(path))?;
-    LogSnapshot::try_from(wire).map_err(decode_error(path))
-}
-
 /// Reads the record of a file that is only ever replaced atomically.
 ///
 /// A crash can't leave such a file incomplete, so any damage is an error.
@@ -51,103 +44,216 @@
     }
 }
 
-/// Reads a log segment and applies its records to `vote` and `entries` in order.
+/// Returns the byte offset of `command` in the payload of a record, at or after `start`.
 ///
-/// An incomplete or damaged record at the end of the last segment is a torn write and is truncated.
-/// Damage in an earlier segment, or damage that is followed by an intact record, is an error.
-pub(super) fn read_segment(
-    path: &Path,
-    is_last: bool,
-    vote: &mut VoteRecord,
-    entries: &mut Vec<LogEntry>,
-) -> Result<(), StorageError> {
-    let file = File::open(path).map_err(io_error("open", path))?;
-    let length = file.metadata().map_err(io_error("inspect", path))?.len();
-    let mut reader = BufReader::new(file);
-    let mut intact_bytes = 0;
-    while let Some(payload) = record::read_next(&mut reader).map_err(io_error("read", path))? {
-        intact_bytes += (record::HEADER_BYTES + payload.len()) as u64;
-        replay_record(path, &payload, vote, entries)?;
+/// The encoding of a record holds each command as it is. Any place with the same bytes will do.
+pub(super) fn find_command(payload: &[u8], start: usize, command: &[u8]) -> Option<usize> {
+    if command.is_empty() {
+        return Some(start);
     }
-    if intact_bytes < length {
-        let rest = read_rest(reader, intact_bytes).map_err(io_error("read", path))?;
-        if record::scan(&rest).damaged || !is_last {
-            return Err(StorageError::Damaged {
-                path: path.to_owned(),
-                offset: intact_bytes as usize,
+    let rest = payload.get(start..)?;
+    let mut windows = rest.windows(command.len());
+    let found = windows.position(|window| window == command)?;
+    Some(start + found)
+}
+
+/// Places the entries of a record.
+///
+/// # Errors
+///
+/// Returns the position of the first entry whose command the payload doesn't hold.
+pub(super) fn place_entries(
+    entries: &[LogEntry],
+    payload: &[u8],
+    segment: u64,
+    payload_offset: u64,
+) -> Result<Vec<EntryPlace>, usize> {
+    let mut start = 0;
+    let place = |(position, entry): (usize, &LogEntry)| {
+        let EntryBody::Command(command) = &entry.body else {
+            return Ok(EntryPlace {
+                segment,
+                offset: 0,
+                length: 0,
             });
-        }
-        let file = OpenOptions::new()
-            .write(true)
-            .open(path)
-            .map_err(io_error("open", path))?;
-        file.set_len(intact_bytes)
-            .and_then(|()| file.sync_all())
-            .map_err(io_error("truncate", path))?;
-    }
-    Ok(())
+        };
+        let found = find_command(payload, start, command).ok_or(position)?;
+        start = found + command.len();
+        Ok(EntryPlace {
+            segment,
+            offset: payload_offset + found as u64,
+            length: command.len() as u32,
+        })
+    };
+    entries.iter().enumerate().map(place).collect()
 }
 
-/// Returns the bytes from `offset` to the end of the file.
-fn read_rest(mut reader: BufReader<File>, offset: u64) -> io::Result<Bytes> {
-    reader.seek(SeekFrom::Start(offset))?;
-    let mut rest = Vec::new();
-    reader.read_to_end(&mut rest)?;
-    Ok(Bytes::from(rest))
+/// Content of the log's segments, as far as it has been read.
+#[derive(Debug)]
+pub(super) struct LogReplay {
+    /// Latest vote.
+    pub(super) vote: VoteRecord,
+    /// Entries after the base, without their commands.
+    pub(super) entries: Vec<LogEntry>,
+    /// Place of each of `entries`.
+    pub(super) places: Vec<EntryPlace>,
+    /// Segments that were read, oldest first.
+    pub(super) segments: Vec<SegmentFile>,
+    /// Size of the records with entries after the newest snapshot, in bytes.
+    pub(super) recent_bytes: u64,
+    base: u64,
+    newest: u64,
+    /// Term of the entry at the base, if the segments hold it.
+    base_term: Option<u64>,
 }
 
-/// Applies one log record. An entry replaces all earlier entries with the same or a higher index.
-fn replay_record(
-    path: &Path,
-    payload: &[u8],
-    vote: &mut VoteRecord,
-    entries: &mut Vec<LogEntry>,
-) -> Result<(), StorageError> {
-    match codec::decode(payload).map_err(decode_error(path))? {
-        LogRecord::Vote(wire) => {
-            *vote = VoteRecord::try_from(wire).map_err(decode_error(path))?;
+impl LogReplay {
+    /// Reads all segments in `folder`. Entries up to `base` are left out; `newest` is the index of
+    /// the newest snapshot.
+    pub(super) fn read(folder: &Path, base: u64, newest: u64) -> Result<Self, StorageError> {
+        let mut replay = Self {
+            vote: VoteRecord::default(),
+            entries: Vec::new(),
+            places: Vec::new(),
+            segments: Vec::new(),
+            recent_bytes: 0,
+            base,
+            newest,
+            base_term: None,
+        };
+        let segments = list_segments(folder)?;
+        let count = segments.len();
+        for (position, (number, path)) in segments.into_iter().enumerate() {
+            let bytes = replay.read_segment(number, &path, position + 1 == count)?;
+            replay.segments.push(SegmentFile {
+                number,
+                path,
+                bytes,
+            });
         }
-        LogRecord::Entries(wires) => {
-            for wire in wires {
-                let entry = LogEntry::try_from(wire).map_err(decode_error(path))?;
-                while entries.last().is_some_and(|last| last.index >= entry.index) {
-                    entries.pop();
-                }
-                entries.push(entry);
-            }
+        Ok(replay)
+    }
+
+    /// Returns whether the log holds the last entry that `snapshot` covers, or begins after it.
+    ///
+    /// Otherwise the snapshot came from a leader, and the process stopped before it had removed the
+    /// log that the snapshot replaces.
+    pub(super) fn agrees_with(&self, snapshot: &LogSnapshot) -> bool {
+        if snapshot.index == self.base {
+            return self.base_term.is_none_or(|term| term == snapshot.term);
         }
+        let found = self
+            .entries
+            .binary_search_by_key(&snapshot.index, |entry| entry.index);
+        found.is_ok_and(|position| self.entries[position].term == snapshot.term)
     }
-    Ok(())
-}
 
-/// Returns the entries after the snapshot.
-///
-/// # Errors
-///
-/// Returns [`StorageError::Gap`] if their indexes don't continue the snapshot's without a gap.
-pub(super) fn entries_after_snapshot(
-    path: &Path,
-    snapshot: &LogSnapshot,
-    entries: Vec<LogEntry>,
-) -> Result<Vec<LogEntry>, StorageError> {
-    let last_covered = entries.iter().find(|entry| entry.index == snapshot.index);
-    if last_covered.is_some_and(|entry| entry.term != snapshot.term) {
-        // The log diverged from the leader's and the leader's snapshot replaced it. Its segments
-        // are still there because the process stopped before it had removed them.
-        return Ok(Vec::new());
+    /// Returns whether the indexes of the entries don't continue the base's without a gap.
+    pub(super) fn has_gap(&self) -> bool {
+        let mut expected = self.base + 1..;
+        let mut entries = self.entries.iter();
+        entries.any(|entry| expected.next() != Some(entry.index))
+    }
+
+    /// Reads a log segment and applies its records in order. Returns its size in bytes.
+    ///
+    /// An incomplete or damaged record at the end of the last segment is a torn write and is
+    /// truncated. Damage in an earlier segment, or damage that is followed by an intact record, is
+    /// an error.
+    fn read_segment(
+        &mut self,
+        number: u64,
+        path: &Path,
+        is_last: bool,
+    ) -> Result<u64, StorageError> {
+        let file = File::open(path).map_err(io_error("open", path))?;
+        let length = file.metadata().map_err(io_error("inspect", path))?.len();
+        let mut reader = BufReader::new(file);
+        let mut intact_bytes = 0;
+        while let Some(payload) = record::read_next(&mut reader).map_err(io_error("read", path))? {
+            self.apply_record(number, path, intact_bytes, &payload)?;
+            intact_bytes += (record::HEADER_BYTES + payload.len()) as u64;
+        }
+        if intact_bytes < length {
+            let rest = read_rest(reader, intact_bytes).map_err(io_error("read", path))?;
+            if record::scan(&rest).damaged || !is_last {
+                return Err(StorageError::Damaged {
+                    path: path.to_owned(),
+                    offset: intact_bytes as usize,
+                });
+            }
+            let file = OpenOptions::new()
+                .write(true)
+                .open(path)
+                .map_err(io_error("open", path))?;
+            file.set_len(intact_bytes)
+                .and_then(|()| file.sync_all())
+                .map_err(io_error("truncate", path))?;
+        }
+        Ok(intact_bytes)
     }
-    let rest: Vec<LogEntry> = entries
-        .into_iter()
-        .filter(|entry| entry.index > snapshot.index)
-        .collect();
-    let has_gap = rest
-        .iter()
-        .zip(snapshot.index + 1..)
-        .any(|(entry, index)| entry.index != index);
-    match has_gap {
-        true => Err(StorageError::Gap {
+
+    /// Applies the record at byte `offset` of a segment.
+    fn apply_record(
+        &mut self,
+        segment: u64,
+        path: &Path,
+        offset: u64,
+        payload: &[u8],
+    ) -> Result<(), StorageError> {
+        let wires = match codec::decode(payload).map_err(decode_error(path))? {
+            LogRecord::Vote(wire) => {
+                self.vote = VoteRecord::try_from(wire).map_err(decode_error(path))?;
+                return Ok(());
+            }
+            LogRecord::Entries(wires) => wires,
+        };
+        let entries = wires.into_iter().map(LogEntry::try_from);
+        let entries: Vec<LogEntry> = entries
+            .collect::<Result<_, _>>()
+            .map_err(decode_error(path))?;
+        let payload_offset = offset + record::HEADER_BYTES as u64;
+        let places = place_entries(&entries, payload, segment, payload_offset);
+        let places = places.map_err(|_| StorageError::Damaged {
             path: path.to_owned(),
-        }),
-        false => Ok(rest),
+            offset: offset as usize,
+        })?;
+        if entries.iter().any(|entry| entry.index > self.newest) {
+            self.recent_bytes += (record::HEADER_BYTES + payload.len()) as u64;
+        }
+        for (entry, place) in entries.into_iter().zip(places) {
+            self.push(entry, place);
+        }
+        Ok(())
     }
+
+    /// Adds an entry, which replaces all earlier entries with the same or a higher index.
+    fn push(&mut self, entry: LogEntry, place: EntryPlace) {
+        while self
+            .entries
+            .last()
+            .is_some_and(|last| last.index >= entry.index)
+        {
+            self.entries.pop();
+            self.places.pop();
+        }
+        if entry.index <= self.base {
+            self.base_term = (entry.index == self.base).then_some(entry.term);
+            return;
+        }
+        let body = match entry.body {
+            EntryBody::Command(command) => EntryBody::Stored(command.len() as u32),
+            body => body,
+        };
+        self.entries.push(LogEntry { body, ..entry });
+        self.places.push(place);
+    }
+}
+
+/// Returns the bytes from `offset` to the end of the file.
+fn read_rest(mut reader: BufReader<File>, offset: u64) -> io::Result<Bytes> {
+    reader.seek(SeekFrom::Start(offset))?;
+    let mut rest = Vec::new();
+    reader.read_to_end(&mut rest)?;
+    Ok(Bytes::from(rest))
 }
--- a/crates/storage/src/tests.rs
+++ b/crates/storage/src/tests.rs
@@ -15,6 +15,8 @@
 use bergamotlane_coordination::consensus::GroupMembership;
 use bergamotlane_coordination::consensus::LogEntry;
 use bergamotlane_coordination::consensus::LogSnapshot;
+use bergamotlane_coordination::consensus::ReplicatedLog;
+use bergamotlane_coordination::consensus::SnapshotData;
 use bergamotlane_coordination::consensus::VoteRecord;
 use bergamotlane_coordination::ident::NodeId;
 
@@ -33,7 +35,7 @@
 
 fn append(folder: &mut DataFolder, entries: Vec<LogEntry>) {
     let output = ConsensusOutput::AppendEntries(entries);
-    folder.save(&output, &[]).unwrap();
+    folder.save(&output).unwrap();
     folder.sync().unwrap();
 }
 
@@ -46,7 +48,7 @@
         term: 3,
         voted_for: Some(NodeId(9)),
     };
-    data.save(&ConsensusOutput::SaveVote(vote), &[]).unwrap();
+    data.save(&ConsensusOutput::SaveVote(vote)).unwrap();
     for index in 1..=5 {
         append(&mut data, vec![entry(index, 2)]);
     }
@@ -54,9 +56,24 @@
     (folder, segment)
 }
 
-fn entries_of(content: &FolderContent) -> Vec<LogEntry> {
+/// Returns the entries of an opened folder, with their commands.
+fn entries_of(folder: &DataFolder, content: &FolderContent) -> Vec<LogEntry> {
     let log = &content.log;
-    log.slice(log.snapshot().index + 1, 100).to_vec()
+    let mut entries = log.slice(log.snapshot().index + 1, 100).to_vec();
+    for entry in &mut entries {
+        if let EntryBody::Stored(length) = entry.body {
+            let command = folder.read_command(entry.index, 0..length).unwrap();
+            entry.body = EntryBody::Command(command.unwrap());
+        }
+    }
+    entries
+}
+
+/// Stores a snapshot of applied entries, as its owner does.
+fn take_snapshot(folder: &mut DataFolder, log: &ReplicatedLog, index: u64, data: &[u8]) {
+    let snapshot = log.snapshot_at(index).unwrap();
+    let writer = folder.start_snapshot(snapshot).unwrap();
+    folder.finish_snapshot(writer.write(data).unwrap());
 }
 
 #[test]
@@ -65,7 +82,7 @@
     let (mut data, content) = open(folder.path()).unwrap();
     assert_eq!(content.vote.term, 3);
     assert_eq!(
-        entries_of(&content),
+        entries_of(&data, &content),
         (1..=5).map(|index| entry(index, 2)).collect::<Vec<_>>()
     );
     // An entry of a later term replaces the entries from its index on.
@@ -100,16 +117,15 @@
 fn a_snapshot_replaces_the_log_before_it() {
     let (folder, first) = small_log();
     let (mut data, content) = open(folder.path()).unwrap();
-    let mut log = content.log;
-    let snapshot = log.compact(3, Bytes::from_static(b"state")).unwrap();
-    let output = ConsensusOutput::SaveSnapshot(snapshot);
-    data.save(&output, log.slice(4, 100)).unwrap();
+    take_snapshot(&mut data, &content.log, 3, b"state");
+    append(&mut data, vec![entry(4, 2), entry(5, 2)]);
+    assert_eq!(data.release(4).unwrap(), 3);
     drop(data);
     assert!(!first.exists());
-    let (_, content) = open(folder.path()).unwrap();
+    let (data, content) = open(folder.path()).unwrap();
     assert_eq!(content.vote.term, 3);
     assert_eq!(content.log.snapshot().index, 3);
-    assert_eq!(entries_of(&content), vec![entry(4, 2), entry(5, 2)]);
+    assert_eq!(entries_of(&data, &content), vec![entry(4, 2), entry(5, 2)]);
 }
 
 #[test]
@@ -117,17 +133,17 @@
     let (folder, first) = small_log();
     let before = fs::read(&first).unwrap();
     let (mut data, content) = open(folder.path()).unwrap();
-    let mut log = content.log;
-    let snapshot = log.compact(3, Bytes::from_static(b"state")).unwrap();
-    let output = ConsensusOutput::SaveSnapshot(snapshot);
-    data.save(&output, log.slice(4, 100)).unwrap();
+    take_snapshot(&mut data, &content.log, 3, b"state");
+    append(&mut data, vec![entry(4, 2), entry(5, 2)]);
+    data.release(4).unwrap();
     drop(data);
     // Simulates a crash after the new segment was created and before its records were written and
     // the old segment was removed.
     fs::write(&first, before).unwrap();
     fs::write(folder.path().join("log-0000000000000002"), b"").unwrap();
-    let (_, content) = open(folder.path()).unwrap();
-    assert_eq!(entries_of(&content), vec![entry(4, 2), entry(5, 2)]);
+    let (data, content) = open(folder.path()).unwrap();
+    assert_eq!(content.vote.term, 3);
+    assert_eq!(entries_of(&data, &content), vec![entry(4, 2), entry(5, 2)]);
 }
 
 #[test]
@@ -139,10 +155,9 @@
         index: 4,
         term: 9,
         membership: GroupMembership::default(),
-        data: Bytes::from_static(b"state"),
+        data: SnapshotData::Inline(Bytes::from_static(b"state")),
     };
-    data.save(&ConsensusOutput::SaveSnapshot(snapshot), &[])
-        .unwrap();
+    data.save(&ConsensusOutput::SaveSnapshot(snapshot)).unwrap();
     drop(data);
     // Simulates a crash before the old segment was removed; its entry 4 has another term.
     fs::write(&first, before).unwrap();
@@ -160,14 +175,14 @@
         let bytes = fs::read(&segment).unwrap();
         let cut = (bytes.len() as f64 * share) as usize;
         fs::write(&segment, &bytes[..cut]).unwrap();
-        let (_, content) = open(folder.path()).unwrap();
-        let entries = entries_of(&content);
+        let (data, content) = open(folder.path()).unwrap();
+        let entries = entries_of(&data, &content);
         prop_assert!(entries.len() <= 5);
         for (found, index) in entries.iter().zip(1..) {
             prop_assert_eq!(found, &entry(index, 2));
         }
         // Opening truncated the torn record, so the folder can be opened again.
-        drop(content);
+        drop((data, content));
         prop_assert!(open(folder.path()).is_ok());
     }
 
@@ -182,8 +197,8 @@
         bytes[changed] ^= flip;
         fs::write(&segment, &bytes).unwrap();
         match open(folder.path()) {
-            Ok((_, content)) => {
-                let entries = entries_of(&content);
+            Ok((data, content)) => {
+                let entries = entries_of(&data, &content);
                 prop_assert_eq!(entries.len(), 4, "only the last record may be truncated");
                 for (found, index) in entries.iter().zip(1..) {
                     prop_assert_eq!(found, &entry(index, 2));
--- a/crates/wire/src/consensus.rs
+++ b/crates/wire/src/consensus.rs
@@ -17,6 +17,7 @@
 use bergamotlane_coordination::consensus::LogEntry;
 use bergamotlane_coordination::consensus::LogSnapshot;
 use bergamotlane_coordination::consensus::MemberRecord;
+use bergamotlane_coordination::consensus::SnapshotData;
 use bergamotlane_coordination::consensus::VoteRecord;
 use bergamotlane_coordination::ident::NodeId;
 
@@ -52,10 +53,15 @@
 impl Mirror for EntryBody {
     type Wire = EntryBodyWire;
 
+    /// # Panics
+    ///
+    /// Panics if the command is only in storage: its owner must read it first, since any bytes in
+    /// its place would be taken for the command.
     fn to_wire(&self) -> EntryBodyWire {
         match self {
             Self::Noop => EntryBodyWire::Noop,
             Self::Command(bytes) => EntryBodyWire::Command(bytes.to_wire()),
+            Self::Stored(_) => panic!("a stored command has no encoding until it is read"),
             Self::Membership(membership) => EntryBodyWire::Membership(membership.to_wire()),
         }
     }
@@ -78,13 +84,32 @@
     LogEntryWire for LogEntry { index: u64, term: u64, body: EntryBody }
 }
 
+impl Mirror for SnapshotData {
+    type Wire = ByteBuf;
+
+    /// # Panics
+    ///
+    /// Panics if the data is only in storage: its owner must read it first, since any bytes in its
+    /// place would be taken for the state.
+    fn to_wire(&self) -> ByteBuf {
+        match self {
+            Self::Inline(bytes) => bytes.to_wire(),
+            Self::Stored => panic!("a stored snapshot has no encoding until it is read"),
+        }
+    }
+
+    fn from_wire(wire: ByteBuf) -> Result<Self, WireError> {
+        Bytes::from_wire(wire).map(Self::Inline)
+    }
+}
+
 mirror_struct! {
     /// Wire type of [`LogSnapshot`].
     LogSnapshotWire for LogSnapshot {
         index: u64,
         term: u64,
         membership: GroupMembership,
-        data: Bytes,
+        data: SnapshotData,
     }
 }
 
