--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -32,7 +32,6 @@
 use bergamotlane_coordination::consensus::LogEntry;
 use bergamotlane_coordination::consensus::LogSnapshot;
 use bergamotlane_coordination::consensus::ReplicatedLog;
-use bergamotlane_coordination::consensus::SnapshotData;
 use bergamotlane_coordination::consensus::VoteRecord;
 use bergamotlane_coordination::ident::NodeId;
 use bergamotlane_wire::LogEntryWire;
@@ -92,8 +91,8 @@
         let lock = lock_folder(path)?;
         let identity = read_identity(path, new_node)?;
         let snapshots = SnapshotSet::open(path)?;
-        let newest = read_header(&snapshots, snapshots.newest())?;
-        let mut base = read_header(&snapshots, snapshots.oldest())?;
+        let newest = snapshots.read_header(snapshots.newest())?;
+        let mut base = snapshots.read_header(snapshots.oldest())?;
         let replay = LogReplay::read(path, base.index, newest.index)?;
         let is_replaced = !replay.agrees_with(&newest);
         if !is_replaced && replay.has_gap() {
@@ -335,15 +334,6 @@
     }
 }
 
-/// Reads the snapshot at `index`, or the empty one, and drops its data.
-fn read_header(snapshots: &SnapshotSet, index: u64) -> Result<LogSnapshot, StorageError> {
-    let snapshot = snapshots.read(index)?.unwrap_or_default();
-    Ok(LogSnapshot {
-        data: SnapshotData::Stored,
-        ..snapshot
-    })
-}
-
 /// Locks the folder until the returned file is closed.
 fn lock_folder(path: &Path) -> Result<File, StorageError> {
     let name = path.join("lock");
--- a/crates/storage/src/record.rs
+++ b/crates/storage/src/record.rs
@@ -4,10 +4,20 @@
 //! length and payload (`u32`, little-endian), and the payload. Records follow one another without
 //! padding.
 
+use std::fs::File;
 use std::io;
+use std::io::BufReader;
+use std::io::BufWriter;
 use std::io::Read;
+use std::io::Seek;
+use std::io::SeekFrom;
+use std::io::Take;
+use std::io::Write;
 
 use bytes::Bytes;
+use serde::Serialize;
+
+use bergamotlane_wire::codec;
 
 /// Marks the start of each record.
 const MAGIC: [u8; 2] = [0xb7, 0x1e];
@@ -111,3 +121,84 @@
         damaged,
     }
 }
+
+/// Writer that passes bytes on, and keeps their number and checksum.
+#[derive(Debug)]
+struct SumWriter<W> {
+    inner: W,
+    hasher: crc32fast::Hasher,
+    length: u64,
+}
+
+impl<W: Write> SumWriter<W> {
+    fn new(inner: W, hasher: crc32fast::Hasher) -> Self {
+        Self {
+            inner,
+            hasher,
+            length: 0,
+        }
+    }
+}
+
+impl<W: Write> Write for SumWriter<W> {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        let count = self.inner.write(bytes)?;
+        self.hasher.update(&bytes[..count]);
+        self.length += count as u64;
+        Ok(count)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.inner.flush()
+    }
+}
+
+/// Writes the only record of an empty file, whose payload is the encoding of `value`, without a
+/// copy of it in memory. Returns the size of the file in bytes.
+///
+/// # Errors
+///
+/// Returns an error if the file can't be written, or the payload is longer than a record may be.
+pub(super) fn write_only<T: Serialize>(file: &mut File, value: &T) -> io::Result<u64> {
+    let mut counter = SumWriter::new(io::sink(), crc32fast::Hasher::new());
+    codec::write(value, &mut counter)?;
+    let length = counter.length;
+    if length > MAX_PAYLOAD_BYTES as u64 {
+        return Err(io::Error::other("the record is too long"));
+    }
+    let length_bytes = (length as u32).to_le_bytes();
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length_bytes);
+    file.write_all(&[0; HEADER_BYTES])?;
+    let mut payload = SumWriter::new(BufWriter::new(&mut *file), hasher);
+    codec::write(value, &mut payload)?;
+    payload.flush()?;
+    let sum = payload.hasher.clone().finalize();
+    let mut header = MAGIC.to_vec();
+    header.extend_from_slice(&length_bytes);
+    header.extend_from_slice(&sum.to_le_bytes());
+    drop(payload);
+    file.seek(SeekFrom::Start(0))?;
+    file.write_all(&header)?;
+    Ok(HEADER_BYTES as u64 + length)
+}
+
+/// Returns a reader of the payload of the first record of a file, or `None` if the record is
+/// incomplete or damaged. The payload is checked before without being held.
+pub(super) fn open_first(mut file: File) -> io::Result<Option<Take<BufReader<File>>>> {
+    let mut header = [0; HEADER_BYTES];
+    if !fill_buffer(&mut file, &mut header)? || header[..2] != MAGIC {
+        return Ok(None);
+    }
+    let length = u32::from_le_bytes([header[2], header[3], header[4], header[5]]);
+    let sum = u32::from_le_bytes([header[6], header[7], header[8], header[9]]);
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(&length.to_le_bytes());
+    let mut check = SumWriter::new(io::sink(), hasher);
+    let copied = io::copy(&mut (&mut file).take(u64::from(length)), &mut check)?;
+    if copied != u64::from(length) || check.hasher.finalize() != sum {
+        return Ok(None);
+    }
+    file.seek(SeekFrom::Start(HEADER_BYTES as u64))?;
+    Ok(Some(BufReader::new(file).take(u64::from(length))))
+}
--- a/crates/storage/src/segments.rs
+++ b/crates/storage/src/segments.rs
@@ -177,7 +177,8 @@
     ///
     /// The records that replace theirs, and the vote, are made durable before.
     pub(super) fn remove_before(&mut self, first: Option<u64>) -> Result<(), StorageError> {
-        if first.is_none() && self.rotate_due {
+        let is_large = self.current.bytes >= self.segment_bytes;
+        if first.is_none() && (self.rotate_due || is_large) {
             self.rotate()?;
         }
         self.sync()?;
--- a/crates/storage/src/snapshots.rs
+++ b/crates/storage/src/snapshots.rs
@@ -3,7 +3,6 @@
 use std::fs;
 use std::fs::File;
 use std::io;
-use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -13,17 +12,20 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
-use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 
 use super::error::StorageError;
 use super::error::decode_error;
 use super::error::io_error;
 use super::file::sync_parent;
 use super::record;
-use super::recovery::read_single_record;
 use super::segments::list_numbered;
+use bergamotlane_coordination::consensus::GroupMembership;
 use bergamotlane_coordination::consensus::LogSnapshot;
 use bergamotlane_coordination::consensus::SnapshotData;
+use bergamotlane_wire::GroupMembershipWire;
 use bergamotlane_wire::LogSnapshotWire;
 use bergamotlane_wire::codec;
 
@@ -88,29 +90,52 @@
     ///
     /// Returns an error if the file can't be written, synced or renamed.
     pub fn write(self, data: &[u8]) -> Result<WrittenSnapshot, StorageError> {
-        let snapshot = LogSnapshot {
-            data: SnapshotData::Inline(Bytes::copy_from_slice(data)),
-            ..self.snapshot
-        };
-        let payload = codec::encode(&LogSnapshotWire::from(&snapshot));
-        let bytes = write_file(&self.path, &payload, &self.permit)
+        let bytes = write_file(&self.path, &self.snapshot, data, &self.permit)
             .map_err(io_error("write", &self.path))?;
         Ok(WrittenSnapshot {
-            index: snapshot.index,
+            index: self.snapshot.index,
             path: self.path,
             bytes,
         })
     }
 }
 
-/// Writes a file with one record under a temporary name, and renames it if it is still wanted.
-/// Returns its size in bytes.
-fn write_file(path: &Path, payload: &[u8], permit: &WritePermit) -> io::Result<u64> {
+/// Encoding of a [`LogSnapshotWire`], with borrowed data.
+#[derive(Debug, Serialize)]
+struct SnapshotRecord<'a> {
+    index: u64,
+    term: u64,
+    membership: GroupMembershipWire,
+    #[serde(with = "serde_bytes")]
+    data: &'a [u8],
+}
+
+/// What is read of a [`LogSnapshotWire`] without its data.
+#[derive(Debug, Deserialize)]
+struct SnapshotHeader {
+    index: u64,
+    term: u64,
+    membership: GroupMembershipWire,
+}
+
+/// Writes a snapshot whose state is `data` under a temporary name, and renames it if it is still
+/// wanted. Returns the size of the file in bytes.
+fn write_file(
+    path: &Path,
+    snapshot: &LogSnapshot,
+    data: &[u8],
+    permit: &WritePermit,
+) -> io::Result<u64> {
     let writer = NEXT_WRITER.fetch_add(1, Ordering::Relaxed);
     let temporary = path.with_extension(format!("{writer}{TEMPORARY_SUFFIX}"));
     let mut file = File::create(&temporary)?;
-    let framed = record::frame(payload);
-    file.write_all(&framed)?;
+    let snapshot = SnapshotRecord {
+        index: snapshot.index,
+        term: snapshot.term,
+        membership: GroupMembershipWire::from(&snapshot.membership),
+        data,
+    };
+    let bytes = record::write_only(&mut file, &snapshot)?;
     file.sync_all()?;
     let permit = permit.lock();
     if !*permit {
@@ -119,7 +144,7 @@
     }
     fs::rename(&temporary, path)?;
     sync_parent(path)?;
-    Ok(framed.len() as u64)
+    Ok(bytes)
 }
 
 /// All snapshots of a folder, oldest first. The oldest is the base of the log.
@@ -138,8 +163,7 @@
         let mut files = Vec::new();
         let earlier = folder.join(EARLIER_SNAPSHOT_FILE);
         if earlier.exists() {
-            let snapshot = read_file(&earlier)?;
-            files.push((snapshot.index, earlier));
+            files.push((read_header(&earlier)?.index, earlier));
         }
         files.extend(list_numbered(folder, SNAPSHOT_PREFIX)?);
         files.sort();
@@ -186,6 +210,16 @@
         }
     }
 
+    /// Reads index, term and membership of the snapshot at `index`. The snapshot at index zero is
+    /// the empty one.
+    pub(super) fn read_header(&self, index: u64) -> Result<LogSnapshot, StorageError> {
+        let file = self.files.iter().rev().find(|file| file.index == index);
+        match file {
+            Some(file) => read_header(&file.path),
+            None => Ok(LogSnapshot::default()),
+        }
+    }
+
     /// Returns whether a snapshot is being written.
     pub(super) fn is_writing(&self) -> bool {
         self.writing.is_some()
@@ -231,9 +265,10 @@
     pub(super) fn save(&mut self, snapshot: &LogSnapshot) -> Result<(), StorageError> {
         self.abandon();
         let path = snapshot_path(&self.folder, snapshot.index);
-        let payload = codec::encode(&LogSnapshotWire::from(snapshot));
         let permit = WritePermit(Arc::new(Mutex::new(true)));
-        let bytes = write_file(&path, &payload, &permit).map_err(io_error("write", &path))?;
+        let data = snapshot.data.inline().map_or(&[][..], |data| data);
+        let written = write_file(&path, snapshot, data, &permit);
+        let bytes = written.map_err(io_error("write", &path))?;
         let index = snapshot.index;
         self.files.retain(|file| file.path != path);
         self.files.push(SnapshotFile { index, path, bytes });
@@ -276,12 +311,35 @@
     folder.join(format!("{SNAPSHOT_PREFIX}{index:016x}"))
 }
 
+/// Reads a snapshot with its data.
 fn read_file(path: &Path) -> Result<LogSnapshot, StorageError> {
-    let payload = read_single_record(path)?;
-    let wire: LogSnapshotWire = codec::decode(&payload).map_err(decode_error(path))?;
+    let wire: LogSnapshotWire = read_record(path)?;
     LogSnapshot::try_from(wire).map_err(decode_error(path))
 }
 
+/// Reads a snapshot, and drops its data.
+fn read_header(path: &Path) -> Result<LogSnapshot, StorageError> {
+    let header: SnapshotHeader = read_record(path)?;
+    let membership = GroupMembership::try_from(header.membership).map_err(decode_error(path))?;
+    Ok(LogSnapshot {
+        index: header.index,
+        term: header.term,
+        membership,
+        data: SnapshotData::Stored,
+    })
+}
+
+/// Reads a file that is only ever replaced atomically; any damage is an error.
+fn read_record<T: DeserializeOwned>(path: &Path) -> Result<T, StorageError> {
+    let file = File::open(path).map_err(io_error("open", path))?;
+    let payload = record::open_first(file).map_err(io_error("read", path))?;
+    let payload = payload.ok_or_else(|| StorageError::Damaged {
+        path: path.to_owned(),
+        offset: 0,
+    })?;
+    codec::read(payload).map_err(decode_error(path))
+}
+
 /// Removes temporary files of snapshots.
 fn remove_incomplete(folder: &Path) -> Result<(), StorageError> {
     for entry in fs::read_dir(folder).map_err(io_error("list", folder))? {
--- a/crates/storage/src/voter.rs
+++ b/crates/storage/src/voter.rs
@@ -217,33 +217,41 @@
         &self,
         mut output: ConsensusOutput,
     ) -> Result<Option<ConsensusOutput>, StorageError> {
-        match &mut output {
+        let is_complete = match &mut output {
             ConsensusOutput::Apply(entry) => {
-                if !self.load_command(entry)? {
+                let found = self.load_command(entry)?;
+                if !found {
                     return Err(self.missing(entry.index));
                 }
+                found
             }
-            ConsensusOutput::Send { message, .. } => match message {
-                ConsensusMessage::Append { entries, .. } => {
-                    for entry in entries {
-                        if !self.load_command(entry)? {
-                            return Ok(None);
-                        }
-                    }
-                }
-                ConsensusMessage::Snapshot { snapshot, .. } => {
-                    if snapshot.data == SnapshotData::Stored {
-                        let Some(stored) = self.folder.read_snapshot(snapshot.index)? else {
-                            return Ok(None);
-                        };
-                        *snapshot = stored;
+            ConsensusOutput::Send { message, .. } => self.complete_message(message)?,
+            _ => true,
+        };
+        Ok(is_complete.then_some(output))
+    }
+
+    /// Reads what a message lacks. Returns whether it is complete.
+    fn complete_message(&self, message: &mut ConsensusMessage) -> Result<bool, StorageError> {
+        match message {
+            ConsensusMessage::Append { entries, .. } => {
+                for entry in entries {
+                    if !self.load_command(entry)? {
+                        return Ok(false);
                     }
                 }
-                _ => {}
-            },
-            _ => {}
+                Ok(true)
+            }
+            ConsensusMessage::Snapshot { snapshot, .. }
+                if snapshot.data == SnapshotData::Stored =>
+            {
+                let stored = self.folder.read_snapshot(snapshot.index)?;
+                let found = stored.is_some();
+                *snapshot = stored.unwrap_or_default();
+                Ok(found)
+            }
+            _ => Ok(true),
         }
-        Ok(Some(output))
     }
 
     /// Reads the command of an entry if it is only on disk. Returns whether the entry has it.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,5 +1,9 @@
 //! CBOR encoding and decoding.
 
+use std::io;
+use std::io::Read;
+use std::io::Write;
+
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -36,3 +40,24 @@
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
     Ok(ciborium::from_reader(bytes)?)
 }
+
+/// Writes the CBOR encoding of a value, as [`encode`] returns it.
+///
+/// # Errors
+///
+/// Returns an error if the writer fails.
+pub fn write<T: Serialize>(value: &T, writer: impl Write) -> io::Result<()> {
+    ciborium::into_writer(value, writer).map_err(|error| match error {
+        ciborium::ser::Error::Io(error) => error,
+        ciborium::ser::Error::Value(text) => io::Error::other(text),
+    })
+}
+
+/// Decodes a value from CBOR that is read piece by piece.
+///
+/// # Errors
+///
+/// Returns [`WireError::Decode`] if the bytes can't be read, or aren't the encoding of a `T`.
+pub fn read<T: DeserializeOwned>(reader: impl Read) -> Result<T, WireError> {
+    Ok(ciborium::from_reader(reader)?)
+}
