--- a/crates/coordination/src/consensus/tests.rs
+++ b/crates/coordination/src/consensus/tests.rs
@@ -881,3 +881,99 @@
 fn the_role_chart_is_complete() {
     assert_eq!(role_chart().start(), NodeRole::Follower);
 }
+
+/// Returns the only voter of a group with a log of ten stored commands of three MiB each, whose
+/// first entry has index 2.
+fn sole_voter(applied: u64) -> ConsensusNode {
+    let mut membership = three_voters();
+    membership.voters.retain(|node, _| *node == NodeId(1));
+    let snapshot = LogSnapshot {
+        index: 1,
+        term: 1,
+        membership,
+        data: SnapshotData::default(),
+    };
+    let entries = (2..=11).map(|index| LogEntry {
+        index,
+        term: 1,
+        body: EntryBody::Stored(3 * 1024 * 1024),
+    });
+    let start = NodeStart {
+        node: NodeId(1),
+        vote: VoteRecord {
+            term: 1,
+            voted_for: None,
+        },
+        log: ReplicatedLog::new(snapshot, entries.collect()),
+        applied,
+        seed: 7,
+    };
+    ConsensusNode::new(ClockTime(0), ConsensusConfig::default(), start)
+}
+
+/// Ticks a sole voter once, with its log durable. Returns the indexes that are to be applied.
+fn tick_sole_voter(node: &mut ConsensusNode, time: ClockTime) -> Vec<u64> {
+    let mut out = Vec::new();
+    node.tick(time, &mut out);
+    let last = node.log().last_index();
+    node.mark_synced(time, last, &mut out);
+    let indexes = out.iter().filter_map(|output| match output {
+        ConsensusOutput::Apply(entry) => Some(entry.index),
+        _ => None,
+    });
+    indexes.collect()
+}
+
+/// A start handed out all entries after the snapshot at once, whose commands were then in memory
+/// together.
+#[test]
+fn evicted_entries_are_applied_in_bounded_portions() {
+    let mut node = sole_voter(0);
+    let mut applied = Vec::new();
+    for step in 1..=4 {
+        let time = ClockTime(step * 20);
+        assert_eq!(node.confirmed_commit(time), None);
+        let indexes = tick_sole_voter(&mut node, time);
+        assert!(indexes.len() <= 4, "at tick {step}: {indexes:?}");
+        applied.extend(indexes);
+    }
+    assert_eq!(applied, (2..=12).collect::<Vec<_>>());
+    assert_eq!(node.confirmed_commit(ClockTime(80)), Some(12));
+}
+
+#[rstest]
+#[case::newer_than_the_base(9, 9)]
+#[case::after_the_end_of_the_log(12, 1)]
+#[case::none(0, 1)]
+fn a_node_starts_from_the_snapshot_of_its_state_machine(#[case] applied: u64, #[case] first: u64) {
+    let mut node = sole_voter(applied);
+    assert_eq!((node.commit_index(), node.applied_index()), (first, first));
+    let indexes = tick_sole_voter(&mut node, ClockTime(20));
+    assert_eq!(indexes.first(), Some(&(first + 1)));
+}
+
+#[test]
+fn only_the_oldest_synced_commands_are_evicted() {
+    let mut node = sole_voter(11);
+    let mut out = Vec::new();
+    node.tick(ClockTime(0), &mut out);
+    let synced = node.log().last_index();
+    node.mark_synced(ClockTime(0), synced, &mut out);
+    for _ in 0..4 {
+        let command = Bytes::from_static(&[1; 10]);
+        node.propose(ClockTime(0), command, &mut out).unwrap();
+    }
+    node.evict_commands(0);
+    assert_eq!(node.log().held_bytes(), 40, "not durable");
+    node.mark_synced(ClockTime(0), synced + 3, &mut out);
+    node.evict_commands(25);
+    assert_eq!(node.log().held_bytes(), 20);
+    node.evict_commands(0);
+    assert_eq!(node.log().held_bytes(), 10);
+    let body = |index| node.log().entry(index).unwrap().body.clone();
+    assert_eq!(body(synced + 3), EntryBody::Stored(10));
+    assert_eq!(
+        body(synced + 4),
+        EntryBody::Command(Bytes::from_static(&[1; 10]))
+    );
+}
--- a/crates/storage/src/tests/crashes.rs
+++ b/crates/storage/src/tests/crashes.rs
@@ -9,9 +9,11 @@
 use super::entry;
 use super::open;
 use super::small_log;
+use super::take_snapshot;
 use super::trial::Trial;
 use super::trial::files_of;
 use super::trial::leader_snapshot;
+use crate::StorageError;
 use bergamotlane_coordination::consensus::ConsensusOutput;
 
 /// The entries after a leader's snapshot were dropped at the second restart, if the first one
@@ -61,10 +63,27 @@
     drop(data);
     let middle = first.with_file_name("log-0000000000000002");
     fs::remove_file(middle).unwrap();
-    assert!(matches!(
-        open(folder.path()),
-        Err(crate::StorageError::Gap { .. })
-    ));
+    assert!(matches!(open(folder.path()), Err(StorageError::Gap { .. })));
+}
+
+/// A snapshot is replaced atomically, so any damage is an error.
+#[test]
+fn a_damaged_snapshot_is_never_read_as_content() {
+    let (folder, _) = small_log();
+    let (mut data, content) = open(folder.path()).unwrap();
+    take_snapshot(&mut data, &content.log, 3, b"state");
+    drop(data);
+    let path = folder.path().join("snapshot-0000000000000003");
+    let whole = fs::read(&path).unwrap();
+    for position in 0..whole.len() {
+        let mut bytes = whole.clone();
+        bytes[position] ^= 1;
+        for damaged in [&bytes[..], &whole[..position]] {
+            fs::write(&path, damaged).unwrap();
+            let opened = open(folder.path());
+            assert!(matches!(opened, Err(StorageError::Damaged { .. })));
+        }
+    }
 }
 
 proptest! {
