Forget jobs sooner, and those that no route matches

Cause: a job that no route matches is never admitted, so it never settles and was never forgotten; its bodies stay on disk, and with them the log from its submission on. Jobs were kept for 30 s after callers could last read them. Change: a job past its retention is forgotten if it is settled or not in the scheduler. The margin is 5 s: a keeper counts the retention from its own first sight of the job, which can't be earlier than the submission, and a caller from the answer, which comes at most 2 s (CALL_TIMEOUT_MS) later. Conclusion: forgotten jobs free their part of the disk within about 10 s of their retention.

--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -50,8 +50,9 @@
 /// Interval of the search for jobs whose retention is over, in milliseconds.
 const FORGET_INTERVAL_MS: u64 = 5_000;
 
-/// Time for which a job is kept after callers can no longer read it, in milliseconds.
-const FORGET_MARGIN_MS: u64 = 30_000;
+/// Time for which a job is kept after callers can no longer read it, in milliseconds. A caller may
+/// count from the answer to its submission, which comes later than the job itself.
+const FORGET_MARGIN_MS: u64 = 5_000;
 
 /// A caller that waits for further results of a job.
 #[derive(Debug)]
@@ -375,7 +376,8 @@
         }
     }
 
-    /// Proposes to drop settled jobs whose retention is over.
+    /// Proposes to drop jobs whose retention is over, unless their items still run. A job that no
+    /// route matches has none that do.
     fn forget_jobs(&mut self, time: ClockTime) {
         let Some(lead) = &mut self.lead else {
             return;
@@ -389,7 +391,7 @@
             .state
             .jobs
             .iter()
-            .filter(|(_, job)| job.is_settled())
+            .filter(|(id, job)| job.is_settled() || !lead.scheduler.contains(id))
             .filter(|(id, _)| {
                 let first_seen = self.first_seen_at.get(*id);
                 first_seen.is_some_and(|at| time.since(*at) > retention_ms)
