--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -103,6 +103,7 @@
         relay: settings.relay,
         founds: false,
         keepers: BTreeSet::new(),
+        state_format: 0,
     };
     let forwarder = Forwarder::new(
         dialect,
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -23,6 +23,10 @@
 use crate::usage::UsageSums;
 use bergamotlane_wire::ConsensusMessageWire;
 
+/// Format of snapshots in which payloads may be references to log entries. A keeper that names a lower
+/// one reads only payloads that are held in full.
+pub const STATE_FORMAT: u32 = 1;
+
 /// Identity of a process, sent as the first frame on each link.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HelloFrame {
@@ -47,6 +51,9 @@
     pub relay: Option<SocketAddr>,
     /// Link addresses of the keepers to link to first.
     pub keepers: BTreeSet<SocketAddr>,
+    /// Latest format of snapshots that a keeper reads; see [`STATE_FORMAT`].
+    #[serde(default)]
+    pub state_format: u32,
 }
 
 /// Role of a keeper, sent with each heartbeat of a link.
--- a/crates/service/src/jobs.rs
+++ b/crates/service/src/jobs.rs
@@ -1,11 +1,16 @@
 //! Batch jobs: submissions, and append-only lists of results.
 
 use std::collections::BTreeMap;
+use std::iter;
+use std::ops::Range;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::payload::PayloadRef;
+use crate::payload_reads::read_payloads;
 use crate::work::PartialText;
 
 /// Item of a batch job: a request for tokens that an engine runs later.
@@ -18,8 +23,7 @@
     /// Headers of the request to an engine.
     pub headers: Vec<(String, String)>,
     /// Body of the request to an engine.
-    #[serde(with = "crate::payload")]
-    pub body: Bytes,
+    pub body: PayloadRef,
     /// Number of prompt tokens plus the largest number of output tokens.
     pub tokens: u64,
     /// Group of items that share a prompt.
@@ -34,13 +38,13 @@
 impl ItemSpec {
     /// Clears what only open items need, to free its memory. The IDs stay.
     fn clear_request(&mut self) {
-        self.body = Bytes::new();
+        self.body = PayloadRef::default();
         self.headers = Vec::new();
         self.path = String::new();
         if let Some(reward) = &mut self.reward {
             reward.host = String::new();
             reward.path = String::new();
-            reward.body = Bytes::new();
+            reward.body = PayloadRef::default();
         }
     }
 
@@ -60,8 +64,7 @@
     /// Path and query of the request.
     pub path: String,
     /// Body of the request.
-    #[serde(with = "crate::payload")]
-    pub body: Bytes,
+    pub body: PayloadRef,
 }
 
 /// Batch job as the caller submitted it.
@@ -102,8 +105,7 @@
     /// How the item ended.
     pub end: ItemEnd,
     /// Generated text: the data of all events, joined by line feeds.
-    #[serde(with = "crate::payload")]
-    pub text: Bytes,
+    pub text: PayloadRef,
     /// Weight versions that generated the text, ascending.
     pub versions: Vec<u64>,
     /// Score of the text, if the item has a reward call and is completed.
@@ -117,7 +119,7 @@
         Self {
             item,
             end: ItemEnd::Terminated,
-            text: Bytes::new(),
+            text: PayloadRef::default(),
             versions: Vec::new(),
             score: None,
         }
@@ -128,7 +130,7 @@
         Self {
             item,
             end: ItemEnd::Completed,
-            text: text.text(),
+            text: text.text().into(),
             versions: text.versions,
             score,
         }
@@ -146,19 +148,42 @@
     pub listed: Vec<bool>,
     /// Whether the caller ended the job.
     pub ended: bool,
+    /// Index of the log entry that submitted the job; its payloads are in that one and in later
+    /// ones.
+    #[serde(default)]
+    pub first_entry: u64,
 }
 
 impl JobRecord {
-    fn new(submission: JobSubmission) -> Self {
+    fn new(index: u64, submission: JobSubmission) -> Self {
         let listed = vec![false; submission.items.len()];
         Self {
             submission,
             results: Vec::new(),
             listed,
             ended: false,
+            first_entry: index,
         }
     }
 
+    /// Returns the payloads of the job's items and results.
+    pub fn payloads(&self) -> impl Iterator<Item = &PayloadRef> {
+        let items = self.submission.items.iter().flat_map(|it| {
+            let reward = it.reward.as_ref().map(|it| &it.body);
+            iter::once(&it.body).chain(reward)
+        });
+        items.chain(self.results.iter().map(|it| &it.text))
+    }
+
+    /// Returns the payloads in the order of [`Self::payloads`].
+    fn payloads_mut(&mut self) -> impl Iterator<Item = &mut PayloadRef> {
+        let items = self.submission.items.iter_mut().flat_map(|it| {
+            let reward = it.reward.as_mut().map(|it| &mut it.body);
+            iter::once(&mut it.body).chain(reward)
+        });
+        items.chain(self.results.iter_mut().map(|it| &mut it.text))
+    }
+
     /// Returns whether an item still has to run.
     pub fn is_open(&self, item: u32) -> bool {
         !self.ended && self.listed.get(item as usize) == Some(&false)
@@ -170,31 +195,99 @@
     }
 }
 
-/// Table of the batch jobs of all customers, by job ID.
+/// Size of the jobs in a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct TableSize {
+    /// Number of jobs.
+    pub jobs: usize,
+    /// Number of items.
+    pub items: usize,
+    /// Size of the payloads that the table holds in full, in bytes.
+    pub inline_bytes: u64,
+    /// Size of the payloads that the table refers to, in bytes.
+    pub stored_bytes: u64,
+}
+
+/// Table of the batch jobs of all customers, by job ID. A clone shares the jobs until one of them
+/// changes.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct JobTable {
-    jobs: BTreeMap<String, JobRecord>,
+    jobs: BTreeMap<String, Arc<JobRecord>>,
 }
 
 impl JobTable {
     /// Returns the job with an ID.
     pub fn get(&self, id: &str) -> Option<&JobRecord> {
-        self.jobs.get(id)
+        self.jobs.get(id).map(Arc::as_ref)
     }
 
     /// Returns all jobs with their IDs, in the order of the IDs.
     pub fn iter(&self) -> impl Iterator<Item = (&String, &JobRecord)> {
-        self.jobs.iter()
+        self.jobs.iter().map(|(id, job)| (id, job.as_ref()))
+    }
+
+    /// Returns the size of all jobs.
+    pub fn size(&self) -> TableSize {
+        let mut size = TableSize {
+            jobs: self.jobs.len(),
+            ..TableSize::default()
+        };
+        for job in self.jobs.values() {
+            size.items += job.listed.len();
+            for payload in job.payloads() {
+                match payload {
+                    PayloadRef::Inline(bytes) => size.inline_bytes += bytes.len() as u64,
+                    PayloadRef::Entry { length, .. } => size.stored_bytes += u64::from(*length),
+                }
+            }
+        }
+        size
+    }
+
+    /// Returns the smallest index of a log entry that a job may refer to, if there is a job.
+    pub fn first_entry(&self) -> Option<u64> {
+        self.jobs.values().map(|it| it.first_entry).min()
+    }
+
+    /// Sets the first entry of jobs that don't name it to `index`. They come from a snapshot that
+    /// holds their payloads in full.
+    pub(crate) fn set_first_entries(&mut self, index: u64) {
+        for job in self.jobs.values_mut().filter(|it| it.first_entry == 0) {
+            Arc::make_mut(job).first_entry = index;
+        }
+    }
+
+    /// Replaces all references by the payloads that they stand for, or by nothing where the log has
+    /// no such entry. `read` is that of [`read_payloads`].
+    ///
+    /// # Errors
+    ///
+    /// Returns the first error of `read`.
+    pub fn resolve<E>(
+        &mut self,
+        read: impl Fn(u64, Range<u32>) -> Result<Option<Bytes>, E>,
+    ) -> Result<(), E> {
+        for job in self.jobs.values_mut() {
+            let job = Arc::make_mut(job);
+            let payloads: Vec<PayloadRef> = job.payloads().cloned().collect();
+            let found = read_payloads(&payloads, &read)?;
+            for (payload, bytes) in job.payloads_mut().zip(found) {
+                *payload = PayloadRef::Inline(bytes.unwrap_or_default());
+            }
+        }
+        Ok(())
     }
 
-    /// Adds a job and returns true. If a job with its ID exists, nothing changes and the method
-    /// returns false, so that a repeated submission is harmless.
-    pub fn submit(&mut self, submission: JobSubmission) -> bool {
+    /// Adds the job that the log entry at `index` submits and returns true. If a job with its ID
+    /// exists, nothing changes and the method returns false, so that a repeated submission is
+    /// harmless.
+    pub fn submit(&mut self, index: u64, submission: JobSubmission) -> bool {
         if self.jobs.contains_key(&submission.id) {
             return false;
         }
-        let record = JobRecord::new(submission);
-        self.jobs.insert(record.submission.id.clone(), record);
+        let record = JobRecord::new(index, submission);
+        self.jobs
+            .insert(record.submission.id.clone(), Arc::new(record));
         true
     }
 
@@ -207,6 +300,7 @@
         if !job.is_open(result.item) {
             return false;
         }
+        let job = Arc::make_mut(job);
         let index = result.item as usize;
         job.listed[index] = true;
         job.submission.items[index].clear_request();
@@ -219,6 +313,7 @@
         let Some(job) = self.jobs.get_mut(id) else {
             return false;
         };
+        let job = Arc::make_mut(job);
         job.ended = true;
         for item in &mut job.submission.items {
             item.clear_request();
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -9,9 +9,11 @@
 use crate::frames::LeaderCall;
 use crate::frames::LeaderReply;
 use crate::frames::ListedResult;
+use crate::jobs::ItemResult;
 use crate::jobs::JobRecord;
 use crate::leaving::LeavingStart;
 use crate::metrics::METRICS;
+use crate::payload::PayloadRef;
 use crate::registry::AnnouncementEffect;
 use crate::registry::TargetAnnouncement;
 use crate::software::SoftwareBuild;
@@ -272,7 +274,7 @@
             }
             return;
         }
-        let reply = results_from(record, after);
+        let reply = self.results_from(&job, after);
         self.reply(origin, reply);
     }
 
@@ -285,12 +287,8 @@
         let is_due = |it: &mut ResultWaiter| job == Some(it.job.as_str()) || time >= it.deadline;
         let waiters: Vec<ResultWaiter> = lead.waiters.extract_if(.., is_due).collect();
         for waiter in waiters {
-            let reply = match self.state.jobs.get(&waiter.job) {
-                Some(record) => results_from(record, waiter.after),
-                None => LeaderReply::Missing,
-            };
             let reply = match self.is_confirmed_leader() {
-                true => reply,
+                true => self.results_from(&waiter.job, waiter.after),
                 false => LeaderReply::NotLeader,
             };
             self.reply(waiter.origin, reply);
@@ -298,17 +296,41 @@
     }
 
     /// Returns the reply with the request body of an item that still has to run.
-    fn read_item(&self, job: &str, customer: Option<&str>, item: &str) -> LeaderReply {
+    fn read_item(&mut self, job: &str, customer: Option<&str>, item: &str) -> LeaderReply {
         let Some(record) = self.customer_job(job, customer) else {
             return LeaderReply::Missing;
         };
         let items = &record.submission.items;
         let index = items.iter().position(|it| it.id == item);
-        match index {
-            Some(index) if record.is_open(index as u32) => {
-                LeaderReply::Body(items[index].body.clone())
-            }
-            _ => LeaderReply::Missing,
+        let Some(index) = index.filter(|it| record.is_open(*it as u32)) else {
+            return LeaderReply::Missing;
+        };
+        let body = items[index].body.clone();
+        match self.read_payload(&body) {
+            Some(body) => LeaderReply::Body(body),
+            None => LeaderReply::NotLeader,
+        }
+    }
+
+    /// Returns the results of a job from position `after` on, up to [`MAX_RESULTS_BYTES`] of text.
+    fn results_from(&mut self, job: &str, after: u64) -> LeaderReply {
+        let Some(record) = self.state.jobs.get(job) else {
+            return LeaderReply::Missing;
+        };
+        let after = (after as usize).min(record.results.len());
+        let texts: Vec<PayloadRef> = fitting_results(&record.results[after..])
+            .iter()
+            .map(|it| it.text.clone())
+            .collect();
+        let texts = self.read_payloads(&texts);
+        let texts: Option<Vec<Bytes>> = texts.and_then(|it| it.into_iter().collect());
+        let (Some(texts), Some(record)) = (texts, self.state.jobs.get(job)) else {
+            return LeaderReply::NotLeader;
+        };
+        LeaderReply::Results {
+            total: record.listed.len() as u64,
+            next: (after + texts.len()) as u64,
+            results: listed_results(record, after, texts),
         }
     }
 
@@ -329,27 +351,27 @@
     }
 }
 
-/// Returns the results from position `after` on, up to [`MAX_RESULTS_BYTES`] of text.
-fn results_from(record: &JobRecord, after: u64) -> LeaderReply {
-    let after = (after as usize).min(record.results.len());
+/// Returns the first results, up to [`MAX_RESULTS_BYTES`] of text.
+fn fitting_results(results: &[ItemResult]) -> &[ItemResult] {
     let mut bytes = 0;
-    let mut results = Vec::new();
-    for result in &record.results[after..] {
+    let fits = |(position, result): (usize, &ItemResult)| {
         bytes += result.text.len();
-        if bytes > MAX_RESULTS_BYTES && !results.is_empty() {
-            break;
-        }
-        results.push(ListedResult {
+        position == 0 || bytes <= MAX_RESULTS_BYTES
+    };
+    let count = results.iter().enumerate().map(fits).take_while(|it| *it);
+    &results[..count.count()]
+}
+
+/// Returns the results with these texts, from position `after` on.
+fn listed_results(record: &JobRecord, after: usize, texts: Vec<Bytes>) -> Vec<ListedResult> {
+    let results = record.results[after..].iter().zip(texts);
+    results
+        .map(|(result, text)| ListedResult {
             id: record.submission.items[result.item as usize].id.clone(),
             end: result.end,
-            text: Bytes::clone(&result.text),
+            text,
             versions: result.versions.clone(),
             score: result.score.clone(),
-        });
-    }
-    LeaderReply::Results {
-        total: record.listed.len() as u64,
-        next: (after + results.len()) as u64,
-        results,
-    }
+        })
+        .collect()
 }
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -15,6 +15,8 @@
 use super::KeeperSettings;
 use super::lead::LeaderState;
 use super::memory::MemoryReport;
+use super::snapshots::SnapshotTurn;
+use super::snapshots::thresholds_of;
 use super::targets::load_targets;
 use crate::dialect::TargetDialect;
 use crate::directory::GroupMembers;
@@ -47,7 +49,6 @@
 use bergamotlane_storage::DataFolder;
 use bergamotlane_storage::DiskVoter;
 use bergamotlane_storage::FolderContent;
-use bergamotlane_storage::SnapshotThresholds;
 use bergamotlane_storage::clock::now;
 
 /// Longest time between two checks of the timers.
@@ -66,11 +67,8 @@
 /// Delay before a failed data folder is opened again, in milliseconds.
 const REOPEN_DELAY_MS: u64 = 500;
 
-/// Size of the log, in bytes or entries, above which a snapshot replaces it.
-const SNAPSHOT_THRESHOLDS: SnapshotThresholds = SnapshotThresholds {
-    log_bytes: 128 * 1024 * 1024,
-    entries: 200_000,
-};
+/// Size of the youngest commands of the log that are kept in memory, in bytes.
+const LOG_TAIL_BYTES: usize = 4 * 1024 * 1024;
 
 /// Timing of heartbeats, leases and elections.
 const CONSENSUS_CONFIG: ConsensusConfig = ConsensusConfig {
@@ -157,6 +155,7 @@
     pub(super) text_journal: Option<TextJournal>,
     /// Time of the next replication of partial texts.
     pub(super) texts_due: ClockTime,
+    pub(super) snapshot: SnapshotTurn,
     pub(super) memory: MemoryReport,
 }
 
@@ -165,12 +164,14 @@
         node: NodeId(folder.identity().node),
         vote: content.vote,
         log: content.log,
+        applied: content.applied,
         seed: rand::random(),
     };
     DiskVoter {
+        snapshots: thresholds_of(start.node),
         node: ConsensusNode::new(time, CONSENSUS_CONFIG, start),
         folder,
-        snapshots: SNAPSHOT_THRESHOLDS,
+        log_tail_bytes: LOG_TAIL_BYTES,
     }
 }
 
@@ -249,6 +250,7 @@
             texts,
             text_journal,
             texts_due: time,
+            snapshot: SnapshotTurn::default(),
             memory: MemoryReport::default(),
         };
         core.restore_from_disk();
@@ -342,6 +344,7 @@
                 self.voter = Some(open_voter(folder, content, time));
                 self.state = ServiceState::default();
                 self.routes = None;
+                self.reset_snapshots();
                 self.restore_from_disk();
             }
             Err(error) => {
--- a/crates/service/src/keeper/dispatch.rs
+++ b/crates/service/src/keeper/dispatch.rs
@@ -123,6 +123,9 @@
             KeeperEvent::UsageReported { window, accepted } => {
                 self.on_usage_reported(window, accepted)
             }
+            KeeperEvent::SnapshotWritten { folder, written } => {
+                self.on_snapshot_written(folder, written);
+            }
             KeeperEvent::SeedsChanged(seeds) => {
                 self.settings.seeds = seeds.clone();
                 self.directory.set_seeds(seeds);
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -13,12 +13,15 @@
 mod helpers;
 mod lead;
 mod limits;
+mod listing;
 mod memory;
 mod orders;
 mod outputs;
+mod payloads;
 mod peers;
 mod repair;
 mod scoring;
+mod snapshots;
 mod suspects;
 mod targets;
 mod texts;
@@ -39,6 +42,7 @@
 use self::core::KeeperCore;
 use crate::dialect::TargetDialect;
 use crate::frames::HelloFrame;
+use crate::frames::STATE_FORMAT;
 use crate::leader_client::LeaderClient;
 use crate::leaving::LeavingStart;
 use crate::link::LinkEvent;
@@ -54,6 +58,7 @@
 use bergamotlane_policy::rate::RequestRate;
 use bergamotlane_storage::DataFolder;
 use bergamotlane_storage::StorageError;
+use bergamotlane_storage::WrittenSnapshot;
 
 /// Settings of a keeper, set by the process that starts it.
 #[derive(Debug, Clone)]
@@ -134,6 +139,13 @@
         /// Whether the platform accepted the report.
         accepted: bool,
     },
+    /// The thread that writes a snapshot is done.
+    SnapshotWritten {
+        /// Number of the data folder's opening for which it was started.
+        folder: u64,
+        /// Written snapshot, or why it could not be written.
+        written: Result<WrittenSnapshot, StorageError>,
+    },
     /// The seeds in the settings changed.
     SeedsChanged(BTreeSet<SocketAddr>),
     /// Transfer leadership, as the process is about to exit; the sender confirms that the
@@ -197,6 +209,7 @@
         relay: None,
         founds: settings.may_bootstrap && settings.seeds.contains(&settings.link),
         keepers: settings.seeds.clone(),
+        state_format: STATE_FORMAT,
     };
     let hub = LinkHub::new(hello.clone(), link_sender);
     let core = KeeperCore::new(
--- a/crates/service/src/keeper/outputs.rs
+++ b/crates/service/src/keeper/outputs.rs
@@ -8,6 +8,7 @@
 use crate::dialect::TargetDialect;
 use crate::frames::LeaderReply;
 use crate::frames::LinkFrame;
+use crate::frames::STATE_FORMAT;
 use crate::link::LinkId;
 use crate::metrics::METRICS;
 use crate::payload::decode_command;
@@ -34,26 +35,30 @@
         let Some(voter) = &self.voter else {
             return;
         };
-        let snapshot = voter.node.log().snapshot().clone();
-        self.restore(&snapshot);
-        spdlog::info!("storage: log read", kv: {
-            snapshot = snapshot.index,
-            last = self.voter.as_ref().map_or(0, |it| it.node.log().last_index()),
-        });
+        let last = voter.node.log().last_index();
+        match voter.read_snapshot() {
+            Ok(snapshot) => {
+                self.restore(&snapshot);
+                spdlog::info!("storage: log read", kv: { snapshot = snapshot.index, last });
+            }
+            Err(error) => self.handle_storage_failure(&error),
+        }
     }
 
     /// Replaces the state with that of a snapshot.
     fn restore(&mut self, snapshot: &LogSnapshot) {
-        if !snapshot.data.is_empty() {
-            match codec::decode::<ServiceState>(&snapshot.data) {
+        if let Some(data) = snapshot.data.inline().filter(|it| !it.is_empty()) {
+            match codec::decode::<ServiceState>(data) {
                 Ok(state) => self.state = state,
                 Err(error) => {
                     spdlog::error!("storage: snapshot could not be decoded", kv: { error = error.to_string() });
+                    self.close_folder();
+                    return;
                 }
             }
         }
+        self.state.adopt(snapshot.index);
         self.index_plan();
-        self.state.skip(snapshot.index);
         let time = now();
         for (id, _) in self.state.jobs.iter() {
             self.first_seen_at.entry(id.clone()).or_insert(time);
@@ -78,12 +83,17 @@
                 Err(error) => self.handle_storage_failure(&error),
             }
         }
-        self.take_snapshot();
+        self.maintain_log();
     }
 
-    /// Closes the data folder after a failed write and ends leadership; `tick` reopens it later.
+    /// Closes the data folder after a failed read or write and ends leadership; `tick` reopens it
+    /// later.
     pub(super) fn handle_storage_failure(&mut self, error: &StorageError) {
-        spdlog::error!("storage: write failed, this keeper no longer votes", kv: { error = error.to_string() });
+        spdlog::error!("storage: failed, this keeper no longer votes", kv: { error = error.to_string() });
+        self.close_folder();
+    }
+
+    fn close_folder(&mut self) {
         self.voter = None;
         self.outputs.clear();
         self.end_leadership();
@@ -91,7 +101,7 @@
 
     fn process_output(&mut self, output: ConsensusOutput) {
         match output {
-            ConsensusOutput::Send { to, message } => self.send_consensus(to, &message),
+            ConsensusOutput::Send { to, message } => self.send_consensus(to, message),
             ConsensusOutput::Apply(entry) => self.apply(entry),
             ConsensusOutput::Restore(snapshot) => {
                 if snapshot.index > self.state.index {
@@ -107,11 +117,21 @@
         }
     }
 
-    fn send_consensus(&self, to: NodeId, message: &ConsensusMessage) {
-        if let Some(link) = self.link_of(to) {
-            let wire = ConsensusMessageWire::from(message);
-            self.hub.send(link, &LinkFrame::Consensus(wire));
+    fn send_consensus(&mut self, to: NodeId, mut message: ConsensusMessage) {
+        let Some(link) = self.link_of(to) else {
+            return;
+        };
+        let format = self.links.get(&link).map(|(it, _)| it.state_format);
+        if let ConsensusMessage::Snapshot { snapshot, .. } = &mut message
+            && format < Some(STATE_FORMAT)
+        {
+            let Some(inlined) = self.inline_snapshot(snapshot) else {
+                return;
+            };
+            *snapshot = inlined;
         }
+        let wire = ConsensusMessageWire::from(&message);
+        self.hub.send(link, &LinkFrame::Consensus(wire));
     }
 
     /// Returns the most recent link to a node.
@@ -141,7 +161,12 @@
                 self.state.skip(entry.index);
                 self.on_members_changed();
             }
-            EntryBody::Command(bytes) => match decode_command(&bytes) {
+            EntryBody::Stored(_) => {
+                spdlog::error!("storage: entry without its command", kv: { index = entry.index });
+                self.close_folder();
+                return;
+            }
+            EntryBody::Command(bytes) => match decode_command(entry.index, &bytes) {
                 Ok(command) => self.apply_command(entry.index, command),
                 Err(error) => {
                     spdlog::error!("consensus: undecodable entry skipped", kv: { index = entry.index, error = error.to_string() });
@@ -162,6 +187,7 @@
             for job in jobs {
                 self.first_seen_at.remove(job);
             }
+            self.request_release();
         }
         if let StateCommand::List(results) = &command {
             self.drop_texts(results);
@@ -196,7 +222,14 @@
 
     /// Appends a change to the log if this keeper leads. The caller is answered once it is applied.
     pub(super) fn propose(&mut self, command: &StateCommand, origin: CallOrigin) {
-        let bytes = encode_command(command);
+        let bytes = match encode_command(command) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                spdlog::error!("consensus: change not encodable", kv: { error = error.to_string() });
+                self.reply(origin, LeaderReply::Conflict);
+                return;
+            }
+        };
         let Some(voter) = &mut self.voter else {
             self.reply(origin, LeaderReply::NotLeader);
             return;
@@ -212,19 +245,4 @@
             Err(_) => self.reply(origin, LeaderReply::NotLeader),
         }
     }
-
-    fn take_snapshot(&mut self) {
-        let Some(voter) = &mut self.voter else {
-            return;
-        };
-        if !voter.needs_snapshot() {
-            return;
-        }
-        let mut outputs = Vec::new();
-        let data = codec::encode(&self.state);
-        voter.node.compact(self.state.index, data, &mut outputs);
-        if let Err(error) = voter.persist(now(), outputs) {
-            self.handle_storage_failure(&error);
-        }
-    }
 }
--- a/crates/service/src/keeper/scoring.rs
+++ b/crates/service/src/keeper/scoring.rs
@@ -155,7 +155,8 @@
             return;
         };
         let Some(request) = request else {
-            // The route has gone since the service was set; the item waits for the next plan.
+            // The route has gone since the service was set, or the log doesn't have the body; the
+            // item waits for the next plan, or for its end.
             lead.scores.finish_call(time, key, ScoreEnd::default());
             return;
         };
@@ -171,7 +172,12 @@
     }
 
     /// Builds the reward call of an item, or returns `None` if no route matches.
-    fn reward_request(&self, time: ClockTime, key: ScoreKey) -> Option<PlainRequest> {
+    fn reward_request(&mut self, time: ClockTime, key: ScoreKey) -> Option<PlainRequest> {
+        let task = self.lead.as_ref()?.scores.get(key)?;
+        let body = reward_of(&self.state.jobs, &task.job, task.item)?
+            .body
+            .clone();
+        let body = self.read_payload(&body)?;
         let lead = self.lead.as_ref()?;
         let task = lead.scores.get(key)?;
         let reward = reward_of(&self.state.jobs, &task.job, task.item)?;
@@ -187,7 +193,7 @@
             method: Method::POST,
             path: reward.path.clone(),
             headers,
-            body: reward.body.clone(),
+            body,
             customer: None,
             service,
             kind: RouteKind::Safe,
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -4,10 +4,10 @@
 use std::collections::BTreeSet;
 use std::sync::Arc;
 
+use bytes::Bytes;
 use tokio::sync::oneshot;
 
 use super::KeeperEvent;
-use super::core::CallOrigin;
 use super::core::KeeperCore;
 use super::lead::LeaderState;
 use super::lead::RunHandle;
@@ -24,7 +24,6 @@
 use crate::run::RunRequest;
 use crate::run::StreamLimits;
 use crate::run::run_item;
-use crate::state::StateCommand;
 use crate::texts::TextKey;
 use crate::work::EngineSlot;
 use crate::work::PartialText;
@@ -38,9 +37,6 @@
 /// service has any.
 pub(super) const NON_ROLLOUT_SLOTS: u32 = 2;
 
-/// Most results that one replicated change lists.
-const MAX_RESULTS_PER_CHANGE: usize = 64;
-
 impl<D: TargetDialect> KeeperCore<D> {
     /// Directs later runs of open jobs to the services that the plan in force names.
     pub(super) fn reroute_jobs(&mut self) {
@@ -175,7 +171,25 @@
         });
     }
 
+    /// Returns the request body of the item that a run generates, or ends the run if the log doesn't
+    /// have it.
+    fn body_of(&mut self, time: ClockTime, start: &RunStart) -> Option<Bytes> {
+        let record = self.state.jobs.get(&start.job)?;
+        let body = record.submission.items[start.item as usize].body.clone();
+        let body = self.read_payload(&body);
+        if body.is_none()
+            && let Some(lead) = &mut self.lead
+        {
+            let ended = lead.scheduler.finish_run(time, start.run, RunEnd::Failed);
+            lead.results.extend(ended);
+        }
+        body
+    }
+
     fn start_run(&mut self, time: ClockTime, start: RunStart) {
+        let Some(body) = self.body_of(time, &start) else {
+            return;
+        };
         let (Some(lead), Some(record)) = (&mut self.lead, self.state.jobs.get(&start.job)) else {
             return;
         };
@@ -207,7 +221,7 @@
             path: item.path.clone(),
             host: submission.host.clone(),
             headers: item.headers.clone(),
-            body: item.body.clone(),
+            body,
             customer: submission.customer.clone(),
             version: start.version,
             min_version: submission.min_version,
@@ -308,20 +322,6 @@
         }
     }
 
-    /// Proposes the next batch of collected results.
-    pub(super) fn flush_results(&mut self) {
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        if lead.results.is_empty() {
-            return;
-        }
-        let count = lead.results.len().min(MAX_RESULTS_PER_CHANGE);
-        METRICS.items_listed.inc_by(count as u64);
-        let results: Vec<_> = lead.results.drain(..count).collect();
-        self.propose(&StateCommand::List(results), CallOrigin::Leader);
-    }
-
     /// Gives up items past their time to live and stops their runs.
     pub(super) fn expire_items(&mut self, time: ClockTime) {
         let Some(lead) = &mut self.lead else {
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -28,6 +28,7 @@
 mod outbox;
 mod parts;
 pub mod payload;
+pub mod payload_reads;
 pub mod permits;
 mod placement;
 pub mod plain;
--- a/crates/service/src/relay_links/tests.rs
+++ b/crates/service/src/relay_links/tests.rs
@@ -35,6 +35,7 @@
         relay: None,
         founds: false,
         keepers: BTreeSet::new(),
+        state_format: 0,
     };
     LinkHub::new(hello, mpsc::unbounded_channel().0)
 }
--- a/crates/service/src/state.rs
+++ b/crates/service/src/state.rs
@@ -1,6 +1,7 @@
 //! Replicated state machine: plan, evacuated zones, weight versions, usage windows and jobs.
 //!
-//! [`ServiceState::apply`] is deterministic and reads no clock, so that all replicas agree.
+//! [`ServiceState::apply`] is deterministic and reads no clock, so that all replicas agree. The state
+//! holds references to bodies and texts, which are in the log.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -146,6 +147,19 @@
         self.plan.as_ref().map(|it| it.plan.version)
     }
 
+    /// Returns the index of the first log entry that the state may refer to, or of the next one if it
+    /// refers to none.
+    pub fn first_needed_entry(&self) -> u64 {
+        let next = self.index + 1;
+        self.jobs.first_entry().map_or(next, |it| it.min(next))
+    }
+
+    /// Sets the index of a state that was decoded from the snapshot at `index`.
+    pub fn adopt(&mut self, index: u64) {
+        self.index = index;
+        self.jobs.set_first_entries(index + 1);
+    }
+
     /// Advances the index past a log entry without a command.
     pub fn skip(&mut self, index: u64) {
         self.index = index;
@@ -172,7 +186,7 @@
                 *newest = version.max(*newest);
             }
             StateCommand::Submit(submission) => {
-                self.jobs.submit(*submission);
+                self.jobs.submit(index, *submission);
             }
             StateCommand::List(results) => {
                 for (job, result) in results {
--- a/crates/service/tests/link.rs
+++ b/crates/service/tests/link.rs
@@ -40,6 +40,7 @@
         relay: None,
         founds: false,
         keepers: BTreeSet::new(),
+        state_format: 0,
     }
 }
 
--- a/crates/service/tests/schedule/main.rs
+++ b/crates/service/tests/schedule/main.rs
@@ -147,8 +147,8 @@
         .finish_run(START + 90, run, completed(&[2]))
         .unwrap();
     assert_eq!(
-        (result.end, &result.text[..]),
-        (ItemEnd::Completed, &b"a\nb"[..])
+        (result.end, result.text),
+        (ItemEnd::Completed, Bytes::from_static(b"a\nb").into())
     );
 }
 
--- a/crates/service/tests/scoring.rs
+++ b/crates/service/tests/scoring.rs
@@ -83,7 +83,7 @@
     let (job, result) = queue.finish_call(START, key, scored("s")).unwrap();
     assert_eq!((job.as_str(), result.item), ("a", 5));
     assert_eq!(result.end, ItemEnd::Completed);
-    assert_eq!(result.text, "a\nb");
+    assert_eq!(result.text, Bytes::from_static(b"a\nb").into());
     assert_eq!(result.versions, [4]);
     assert_eq!(result.score.as_deref(), Some("s"));
     assert!(queue.is_empty());
--- a/crates/service/tests/state.rs
+++ b/crates/service/tests/state/applied.rs
@@ -7,82 +7,23 @@
 use proptest::prelude::*;
 use rstest::rstest;
 
-use bergamotlane_service::jobs::ItemEnd;
+use crate::support::inline;
+use crate::support::plan;
+use crate::support::resolved;
+use crate::support::result;
+use crate::support::reward;
+use crate::support::submission;
+use crate::support::submit;
+use crate::support::submit_scored;
 use bergamotlane_service::jobs::ItemResult;
-use bergamotlane_service::jobs::ItemSpec;
-use bergamotlane_service::jobs::JobSubmission;
 use bergamotlane_service::jobs::RewardCall;
 use bergamotlane_service::payload::decode_command;
 use bergamotlane_service::payload::encode_command;
-use bergamotlane_service::plan::RoutingPlan;
 use bergamotlane_service::state::ServiceState;
 use bergamotlane_service::state::StateCommand;
 use bergamotlane_service::usage::UsageSums;
 use bergamotlane_service::usage::UsageTally;
 
-fn submission(id: &str, items: usize) -> JobSubmission {
-    let item = |index: usize| ItemSpec {
-        id: format!("i{index}"),
-        path: format!("/p/{index}"),
-        headers: vec![("x-a".to_owned(), "1".to_owned())],
-        body: Bytes::from(format!("body {index} of {id}")),
-        tokens: 16,
-        group: format!("g{}", index / 2),
-        expected_tokens: None,
-        reward: None,
-    };
-    JobSubmission {
-        id: id.to_owned(),
-        customer: Some("mint".to_owned()),
-        host: "desk.example".to_owned(),
-        path: "/p/".to_owned(),
-        model: "m".to_owned(),
-        min_version: 1,
-        desired: 1,
-        items: (0..items).map(item).collect(),
-    }
-}
-
-fn reward(id: &str) -> RewardCall {
-    RewardCall {
-        id: id.to_owned(),
-        host: "desk.example".to_owned(),
-        path: "/l/score".to_owned(),
-        body: Bytes::from(format!("body of {id}")),
-    }
-}
-
-fn submit_scored(id: &str) -> StateCommand {
-    let mut submission = submission(id, 2);
-    submission.items[1].reward = Some(reward("score-1"));
-    StateCommand::Submit(Box::new(submission))
-}
-
-fn result(item: u32, text: &str) -> ItemResult {
-    ItemResult {
-        item,
-        end: ItemEnd::Completed,
-        text: Bytes::copy_from_slice(text.as_bytes()),
-        versions: vec![1],
-        score: None,
-    }
-}
-
-fn submit(id: &str, items: usize) -> StateCommand {
-    StateCommand::Submit(Box::new(submission(id, items)))
-}
-
-fn plan(version: u64, document: &'static str) -> StateCommand {
-    let plan = RoutingPlan {
-        version,
-        ..RoutingPlan::default()
-    };
-    StateCommand::ReplacePlan {
-        plan: Box::new(plan),
-        document: Bytes::from_static(document.as_bytes()),
-    }
-}
-
 #[rstest]
 #[case::higher(8, "new")]
 #[case::equal_with_other_document(7, "old")]
@@ -119,7 +60,7 @@
     let listed: Vec<(u32, &[u8])> = job
         .results
         .iter()
-        .map(|result| (result.item, &result.text[..]))
+        .map(|result| (result.item, inline(&result.text)))
         .collect();
     assert_eq!(listed, [(2, b"c".as_slice()), (0, b"a".as_slice())]);
     assert!(job.is_open(1) && !job.is_open(2));
@@ -158,7 +99,7 @@
             .finished(Some(customer), item, min_version)
             .map(|result| result.text.clone())
     };
-    assert_eq!(found("mint", 1), Some(Bytes::from_static(b"a")));
+    assert_eq!(found("mint", 1), Some(Bytes::from_static(b"a").into()));
     assert_eq!(found("mint", 2), None);
     assert_eq!(found("ridge", 1), None);
 }
@@ -246,16 +187,17 @@
 #[case(StateCommand::List(vec![("j".to_owned(), result(0, "a")), ("j".to_owned(), result(1, ""))]))]
 #[case(StateCommand::Evacuate("a".to_owned()))]
 fn a_command_round_trips_through_its_log_encoding(#[case] command: StateCommand) {
-    let bytes = encode_command(&command);
-    assert_eq!(decode_command(&bytes).unwrap(), command);
+    let bytes = encode_command(&command).unwrap();
+    let decoded = decode_command(7, &bytes).unwrap();
+    assert_eq!(resolved(decoded, 7, &bytes), command);
 }
 
 #[test]
 fn a_truncated_command_is_rejected() {
-    let bytes = encode_command(&submit("j", 3));
+    let bytes = encode_command(&submit("j", 3)).unwrap();
     for length in 0..bytes.len() {
         assert!(
-            decode_command(&bytes.slice(..length)).is_err(),
+            decode_command(7, &bytes.slice(..length)).is_err(),
             "the first {length} bytes were accepted as a command"
         );
     }
@@ -267,6 +209,6 @@
         bytes in proptest::collection::vec(any::<u8>(), 0..200),
     ) {
         // The result doesn't matter: some byte strings are valid commands.
-        let _ = decode_command(&Bytes::from(bytes));
+        let _ = decode_command(7, &Bytes::from(bytes));
     }
 }
--- a/crates/service/tests/streams.rs
+++ b/crates/service/tests/streams.rs
@@ -41,7 +41,7 @@
         stream: key(request),
         build: build(version),
     });
-    decode_command(&encoded).unwrap()
+    decode_command(1, &encoded.unwrap()).unwrap()
 }
 
 /// Answers each call to the leader with `reply`, or says that there is none.
--- a/crates/service/tests/targets/group.rs
+++ b/crates/service/tests/targets/group.rs
@@ -118,6 +118,7 @@
         relay: None,
         founds: false,
         keepers: BTreeSet::new(),
+        state_format: 0,
     }
 }
 
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -2,8 +2,11 @@
 
 #[path = "../common/mod.rs"]
 mod common;
+#[path = "../common/earlier_state.rs"]
+mod earlier_state;
 mod forward;
 mod group;
+mod kept;
 mod relay;
 mod run;
 mod support;
