--- a/crates/service/src/keeper/memory.rs
+++ b/crates/service/src/keeper/memory.rs
@@ -6,6 +6,7 @@
 use crate::dialect::TargetDialect;
 use crate::metrics::METRICS;
 use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_storage::DiskVoter;
 
 /// Interval at which the memory is read, in milliseconds.
 const MEMORY_INTERVAL_MS: u64 = 500;
@@ -36,11 +37,20 @@
         }
         self.memory.due = time + MEMORY_INTERVAL_MS;
         let (links, queued_bytes) = self.hub.load();
-        let log_bytes = self.voter.as_ref().map_or(0, |it| it.folder.log_bytes());
+        let voter = self.voter.as_ref();
+        let log_bytes = voter.map_or(0, |it| it.folder.log_bytes());
+        let disk_bytes = voter.map_or(0, DiskVoter::disk_bytes);
+        let command_bytes = voter.map_or(0, DiskVoter::command_bytes_in_memory);
+        let table = self.state.jobs.size();
         METRICS.links.set(links as i64);
         METRICS.queued_bytes.set(queued_bytes as i64);
         METRICS.partial_texts.set(self.texts.len() as i64);
         METRICS.log_bytes.set(log_bytes as i64);
+        METRICS.disk_bytes.set(disk_bytes as i64);
+        METRICS.command_bytes.set(command_bytes as i64);
+        METRICS.state_items.set(table.items as i64);
+        METRICS.stored_bytes.set(table.stored_bytes as i64);
+        METRICS.inline_bytes.set(table.inline_bytes as i64);
         let Some(resident_kb) = resident_kb() else {
             return;
         };
@@ -55,8 +65,13 @@
             links,
             queued_bytes,
             log_bytes,
+            disk_bytes,
+            command_bytes,
+            stored_bytes = table.stored_bytes,
+            inline_bytes = table.inline_bytes,
             texts = self.texts.len(),
-            jobs = self.state.jobs.iter().count(),
+            jobs = table.jobs,
+            items = table.items,
             runs,
         });
     }
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -85,8 +85,18 @@
     pub partial_texts: IntGauge,
     /// Resident memory, in KB.
     pub resident_kb: IntGauge,
-    /// Size of the consensus log, in bytes.
+    /// Size of the consensus log on disk, in bytes.
     pub log_bytes: IntGauge,
+    /// Size of the consensus log and of the snapshots on disk, in bytes.
+    pub disk_bytes: IntGauge,
+    /// Size of the log's commands that are held in memory, in bytes.
+    pub command_bytes: IntGauge,
+    /// Number of items of the jobs in the state.
+    pub state_items: IntGauge,
+    /// Size of the bodies and texts that the state refers to on disk, in bytes.
+    pub stored_bytes: IntGauge,
+    /// Size of the bodies and texts that the state holds in memory, in bytes.
+    pub inline_bytes: IntGauge,
     lines_dropped: IntGauge,
 }
 
@@ -152,6 +162,14 @@
             partial_texts: gauge("partial_texts", "Partial texts that are kept."),
             resident_kb: gauge("resident_kb", "Resident memory."),
             log_bytes: gauge("log_bytes", "Size of the log."),
+            disk_bytes: gauge("disk_bytes", "Size of log and snapshots."),
+            command_bytes: gauge("log_memory_bytes", "Commands of the log in memory."),
+            state_items: gauge("state_items", "Items of the jobs in the state."),
+            stored_bytes: gauge("state_disk_bytes", "Bodies and texts of the state on disk."),
+            inline_bytes: gauge(
+                "state_memory_bytes",
+                "Bodies and texts of the state in memory.",
+            ),
             lines_dropped: gauge("log_lines_dropped", "Log lines dropped, queue full."),
             registry,
         }
