--- a/crates/storage/src/tests/voter.rs
+++ b/crates/storage/src/tests/voter.rs
@@ -7,6 +7,10 @@
 use super::group::Member;
 use super::group::TAIL_BYTES;
 use super::group::command;
+use bergamotlane_coordination::consensus::ConsensusMessage;
+use bergamotlane_coordination::consensus::ConsensusOutput;
+use bergamotlane_coordination::consensus::EntryBody;
+use bergamotlane_coordination::consensus::LogEntry;
 use bergamotlane_coordination::ident::NodeId;
 
 /// Returns the index of the entry that holds the command `number`.
@@ -112,6 +116,50 @@
     group.assert_all_applied();
 }
 
+/// The entries of an earlier output are read before a later one replaces them on disk.
+#[test]
+fn outputs_are_completed_in_their_order() {
+    let mut group = Group::new(1);
+    group.propose(100);
+    let member = group.members.get_mut(&NodeId(1)).unwrap();
+    let index = index_of(member, 7);
+    let stored = member.voter.node.log().entry(index).unwrap().clone();
+    assert!(matches!(stored.body, EntryBody::Stored(_)));
+    let append = |entry: &LogEntry| ConsensusMessage::Append {
+        term: 1,
+        prev_index: index - 1,
+        prev_term: 1,
+        entries: vec![entry.clone()],
+        commit: 1,
+        round: 1,
+    };
+    let to = NodeId(2);
+    let replaced = LogEntry {
+        index,
+        term: stored.term + 1,
+        body: EntryBody::Command(command(1_000)),
+    };
+    let outputs = vec![
+        ConsensusOutput::Apply(stored.clone()),
+        ConsensusOutput::Send {
+            to,
+            message: append(&stored),
+        },
+        ConsensusOutput::AppendEntries(vec![replaced]),
+    ];
+    let ready = member.voter.persist(group.time, outputs).unwrap();
+    let full = LogEntry {
+        body: EntryBody::Command(command(7)),
+        ..stored
+    };
+    let message = append(&full);
+    let expected = [
+        ConsensusOutput::Apply(full),
+        ConsensusOutput::Send { to, message },
+    ];
+    assert_eq!(ready, expected);
+}
+
 #[test]
 fn a_restart_applies_from_the_newest_snapshot_on_and_keeps_older_commands() {
     let mut group = Group::new(1);
