--- a/crates/coordination/src/consensus/tests.rs
+++ b/crates/coordination/src/consensus/tests.rs
@@ -20,15 +20,28 @@
 /// Time that passes in one simulation step.
 const STEP_MS: u64 = 10;
 
+/// Size of the commands that a node keeps in memory, in bytes.
+const KEPT_BYTES: usize = 16;
+
 /// Contents of a data folder.
 #[derive(Debug, Clone, Default)]
 struct Disk {
     vote: VoteRecord,
+    /// Snapshot that the log begins after.
+    base: LogSnapshot,
+    /// Newest snapshot.
     snapshot: LogSnapshot,
     entries: Vec<LogEntry>,
 }
 
 impl Disk {
+    /// Makes `snapshot` the only one.
+    fn begin_after(&mut self, snapshot: LogSnapshot) {
+        assert!(snapshot.data.inline().is_some(), "snapshot without data");
+        self.base = snapshot.clone();
+        self.snapshot = snapshot;
+    }
+
     fn save(&mut self, output: &ConsensusOutput) {
         match output {
             ConsensusOutput::SaveVote(vote) => self.vote = *vote,
@@ -36,24 +49,70 @@
                 let first = entries[0].index;
                 self.entries.retain(|entry| entry.index < first);
                 self.entries.extend(entries.iter().cloned());
+                let stored = |it: &LogEntry| matches!(it.body, EntryBody::Stored(_));
+                assert!(!entries.iter().any(stored), "entry without its command");
             }
             ConsensusOutput::SaveSnapshot(snapshot) => {
                 let matches = self
                     .entries
                     .iter()
                     .any(|it| it.index == snapshot.index && it.term == snapshot.term);
-                if matches || self.snapshot.index == snapshot.index {
+                if matches || self.base.index == snapshot.index {
                     self.entries.retain(|entry| entry.index > snapshot.index);
                 } else {
                     let covers = snapshot.index < self.snapshot.index;
                     assert!(!covers, "snapshot is older than the stored one");
                     self.entries.clear();
                 }
-                self.snapshot = snapshot.clone();
+                self.begin_after(snapshot.clone());
             }
             _ => {}
         }
     }
+
+    /// Makes the newest snapshot the base.
+    fn release(&mut self) {
+        let index = self.snapshot.index;
+        self.entries.retain(|entry| entry.index > index);
+        self.base = self.snapshot.clone();
+    }
+
+    /// Reads the command of an entry if the node holds it no longer. Returns whether the entry
+    /// has it.
+    fn load(&self, entry: &mut LogEntry) -> bool {
+        let EntryBody::Stored(length) = entry.body else {
+            return true;
+        };
+        let stored = self.entries.iter().find(|it| it.index == entry.index);
+        let Some(stored) = stored else {
+            return false;
+        };
+        assert_eq!(stored.term, entry.term, "stored entry was replaced");
+        let EntryBody::Command(command) = &stored.body else {
+            panic!("stored entry has no command");
+        };
+        assert_eq!(command.len(), length as usize);
+        entry.body = stored.body.clone();
+        true
+    }
+
+    /// Reads what a message lacks. Returns whether it is complete.
+    fn complete(&self, message: &mut ConsensusMessage) -> bool {
+        match message {
+            ConsensusMessage::Append { entries, .. } => {
+                entries.iter_mut().all(|entry| self.load(entry))
+            }
+            ConsensusMessage::Snapshot { snapshot, .. } => {
+                assert_eq!(snapshot.data, SnapshotData::Stored);
+                let found = snapshot.index == self.base.index;
+                if found {
+                    *snapshot = self.base.clone();
+                }
+                found
+            }
+            _ => true,
+        }
+    }
 }
 
 struct Member {
@@ -109,7 +168,8 @@
 }
 
 /// Returns the state hash in a snapshot, or zero for the empty first snapshot of a group.
-fn read_hash(data: &[u8]) -> u64 {
+fn read_hash(data: &SnapshotData) -> u64 {
+    let data = data.inline().expect("snapshot without data");
     data.first_chunk().map_or(0, |it| u64::from_le_bytes(*it))
 }
 
@@ -117,6 +177,7 @@
 fn body_value(body: &EntryBody) -> u64 {
     match body {
         EntryBody::Noop => 1,
+        EntryBody::Stored(_) => panic!("applied entry without its command"),
         EntryBody::Command(bytes) => u64::from_le_bytes(bytes[..8].try_into().unwrap()),
         EntryBody::Membership(membership) => membership
             .members()
@@ -154,12 +215,12 @@
         };
         for id in 1..=voters {
             let member = harness.members.get_mut(&NodeId(id)).unwrap();
-            member.disk.snapshot = LogSnapshot {
+            member.disk.begin_after(LogSnapshot {
                 index: 1,
                 term: 1,
                 membership: membership.clone(),
-                data: Bytes::new(),
-            };
+                data: SnapshotData::default(),
+            });
             member.disk.vote.term = 1;
         }
         harness.history.insert(1, 0);
@@ -208,7 +269,8 @@
         let start = NodeStart {
             node: id,
             vote: disk.vote,
-            log: ReplicatedLog::new(disk.snapshot.clone(), disk.entries.clone()),
+            log: ReplicatedLog::new(disk.base.clone(), disk.entries.clone()),
+            applied: disk.snapshot.index,
             seed,
         };
         member.node = Some(ConsensusNode::new(now, config, start));
@@ -254,8 +316,15 @@
                 continue;
             }
             match output {
-                ConsensusOutput::Send { to, message } => self.send(id, to, message),
-                ConsensusOutput::Apply(entry) => self.apply(id, &entry),
+                ConsensusOutput::Send { to, mut message } => {
+                    if member.disk.complete(&mut message) {
+                        self.send(id, to, message);
+                    }
+                }
+                ConsensusOutput::Apply(mut entry) => {
+                    assert!(member.disk.load(&mut entry), "committed entry is missing");
+                    self.apply(id, &entry);
+                }
                 ConsensusOutput::Restore(snapshot) => {
                     member.hash = read_hash(&snapshot.data);
                     member.applied = snapshot.index;
@@ -288,13 +357,17 @@
                 .disk
                 .entries
                 .last()
-                .map_or(member.disk.snapshot.index, |it| it.index);
+                .map_or(member.disk.base.index, |it| it.index);
             let now = self.local_time(id);
             let mut out = Vec::new();
             let node = self.members.get_mut(&id).unwrap().node.as_mut().unwrap();
             node.mark_synced(now, last, &mut out);
             self.execute_outputs(id, out, None);
         }
+        if let Some(node) = &mut self.members.get_mut(&id).unwrap().node {
+            node.evict_commands(KEPT_BYTES);
+            assert!(node.log().held_bytes() <= KEPT_BYTES);
+        }
     }
 
     /// Applies an entry, and compares the new state with that of the other members.
@@ -456,10 +529,25 @@
         if node.confirmed_commit(self.local_time(id)).is_some() {
             self.confirmed.push((node.commit_index(), member.hash));
         }
-        if member.applied > node.log().snapshot().index + 40 {
-            let (applied, hash) = (member.applied, member.hash);
-            let data = Bytes::copy_from_slice(&hash.to_le_bytes());
-            self.call_node(id, |node, _, out| node.compact(applied, data, out));
+        self.take_snapshot(id);
+    }
+
+    /// Stores a snapshot of a member now and then, and sometimes lets it become the base.
+    fn take_snapshot(&mut self, id: NodeId) {
+        let member = self.members.get_mut(&id).unwrap();
+        let (Some(node), disk) = (member.node.as_mut(), &mut member.disk) else {
+            return;
+        };
+        if member.applied > disk.snapshot.index + 15 {
+            let data = Bytes::copy_from_slice(&member.hash.to_le_bytes());
+            disk.snapshot = LogSnapshot {
+                data: SnapshotData::Inline(data),
+                ..node.log().snapshot_at(member.applied).unwrap()
+            };
+        }
+        if disk.snapshot.index > disk.base.index + 30 {
+            disk.release();
+            assert!(node.compact(disk.snapshot.index));
         }
     }
 
@@ -529,7 +617,7 @@
                 EntryBody::Membership(membership) => Some(membership),
                 _ => None,
             });
-            let mut memberships = entries.chain([&member.disk.snapshot.membership]);
+            let mut memberships = entries.chain([&member.disk.base.membership]);
             memberships.all(|membership| {
                 let voters = &membership.voters;
                 voters.keys().filter(|node| lost(node)).count() * 2 < voters.len().max(1)
@@ -612,6 +700,7 @@
                 harness.members[&NodeId(1)].disk.snapshot.clone(),
                 Vec::new(),
             ),
+            applied: 0,
             seed: 1,
         },
     );
@@ -653,7 +742,7 @@
         index: 1,
         term: 1,
         membership: three_voters(),
-        data: Bytes::new(),
+        data: SnapshotData::default(),
     };
     let start = NodeStart {
         node: NodeId(1),
@@ -662,6 +751,7 @@
             voted_for: None,
         },
         log: ReplicatedLog::new(snapshot, Vec::new()),
+        applied: 0,
         seed: 7,
     };
     ConsensusNode::new(now, ConsensusConfig::default(), start)
@@ -762,6 +852,7 @@
         node: NodeId(1),
         vote: VoteRecord::default(),
         log: ReplicatedLog::new(disk.snapshot.clone(), disk.entries.clone()),
+        applied: 0,
         seed: 1,
     };
     let mut node = ConsensusNode::new(ClockTime(0), ConsensusConfig::default(), start);
@@ -790,3 +881,99 @@
 fn the_role_chart_is_complete() {
     assert_eq!(role_chart().start(), NodeRole::Follower);
 }
+
+/// Returns the only voter of a group with a log of ten stored commands of three MiB each, whose
+/// first entry has index 2.
+fn sole_voter(applied: u64) -> ConsensusNode {
+    let mut membership = three_voters();
+    membership.voters.retain(|node, _| *node == NodeId(1));
+    let snapshot = LogSnapshot {
+        index: 1,
+        term: 1,
+        membership,
+        data: SnapshotData::default(),
+    };
+    let entries = (2..=11).map(|index| LogEntry {
+        index,
+        term: 1,
+        body: EntryBody::Stored(3 * 1024 * 1024),
+    });
+    let start = NodeStart {
+        node: NodeId(1),
+        vote: VoteRecord {
+            term: 1,
+            voted_for: None,
+        },
+        log: ReplicatedLog::new(snapshot, entries.collect()),
+        applied,
+        seed: 7,
+    };
+    ConsensusNode::new(ClockTime(0), ConsensusConfig::default(), start)
+}
+
+/// Ticks a sole voter once, with its log durable. Returns the indexes that are to be applied.
+fn tick_sole_voter(node: &mut ConsensusNode, time: ClockTime) -> Vec<u64> {
+    let mut out = Vec::new();
+    node.tick(time, &mut out);
+    let last = node.log().last_index();
+    node.mark_synced(time, last, &mut out);
+    let indexes = out.iter().filter_map(|output| match output {
+        ConsensusOutput::Apply(entry) => Some(entry.index),
+        _ => None,
+    });
+    indexes.collect()
+}
+
+/// A start handed out all entries after the snapshot at once, whose commands were then in memory
+/// together.
+#[test]
+fn evicted_entries_are_applied_in_bounded_portions() {
+    let mut node = sole_voter(0);
+    let mut applied = Vec::new();
+    for step in 1..=4 {
+        let time = ClockTime(step * 20);
+        assert_eq!(node.confirmed_commit(time), None);
+        let indexes = tick_sole_voter(&mut node, time);
+        assert!(indexes.len() <= 4, "at tick {step}: {indexes:?}");
+        applied.extend(indexes);
+    }
+    assert_eq!(applied, (2..=12).collect::<Vec<_>>());
+    assert_eq!(node.confirmed_commit(ClockTime(80)), Some(12));
+}
+
+#[rstest]
+#[case::newer_than_the_base(9, 9)]
+#[case::after_the_end_of_the_log(12, 1)]
+#[case::none(0, 1)]
+fn a_node_starts_from_the_snapshot_of_its_state_machine(#[case] applied: u64, #[case] first: u64) {
+    let mut node = sole_voter(applied);
+    assert_eq!((node.commit_index(), node.applied_index()), (first, first));
+    let indexes = tick_sole_voter(&mut node, ClockTime(20));
+    assert_eq!(indexes.first(), Some(&(first + 1)));
+}
+
+#[test]
+fn only_the_oldest_synced_commands_are_evicted() {
+    let mut node = sole_voter(11);
+    let mut out = Vec::new();
+    node.tick(ClockTime(0), &mut out);
+    let synced = node.log().last_index();
+    node.mark_synced(ClockTime(0), synced, &mut out);
+    for _ in 0..4 {
+        let command = Bytes::from_static(&[1; 10]);
+        node.propose(ClockTime(0), command, &mut out).unwrap();
+    }
+    node.evict_commands(0);
+    assert_eq!(node.log().held_bytes(), 40, "not durable");
+    node.mark_synced(ClockTime(0), synced + 3, &mut out);
+    node.evict_commands(25);
+    assert_eq!(node.log().held_bytes(), 20);
+    node.evict_commands(0);
+    assert_eq!(node.log().held_bytes(), 10);
+    let body = |index| node.log().entry(index).unwrap().body.clone();
+    assert_eq!(body(synced + 3), EntryBody::Stored(10));
+    assert_eq!(
+        body(synced + 4),
+        EntryBody::Command(Bytes::from_static(&[1; 10]))
+    );
+}
