--- a/crates/service/tests/growth.rs
+++ b/crates/service/tests/growth.rs
@@ -20,6 +20,7 @@
 use bergamotlane_service::jobs::ItemResult;
 use bergamotlane_service::jobs::ItemSpec;
 use bergamotlane_service::jobs::JobSubmission;
+use bergamotlane_service::payload::PayloadRef;
 use bergamotlane_service::payload::decode_command;
 use bergamotlane_service::payload::encode_command;
 use bergamotlane_service::state::ServiceState;
@@ -50,6 +51,9 @@
 /// Memory that a replica may add to its process, in KB: half of what it keeps on disk.
 const MEMORY_KB: u64 = KEPT_KB / 2;
 
+/// Size of the youngest commands that the log holds in memory, in bytes.
+const LOG_TAIL_BYTES: usize = 4 * 1024 * 1024;
+
 /// Returns a payload that depends on its job, its item and its kind.
 fn payload(job: &str, item: u32, kind: &str) -> Bytes {
     let words = format!("{kind} {item} of {job}, ");
@@ -62,7 +66,7 @@
         id: format!("{job}-{index}"),
         path: "/p/1".to_owned(),
         headers: Vec::new(),
-        body: payload(job, index, "body"),
+        body: payload(job, index, "body").into(),
         tokens: 16,
         group: "g".to_owned(),
         expected_tokens: None,
@@ -84,7 +88,7 @@
     let result = |item: u32| ItemResult {
         item,
         end: ItemEnd::Completed,
-        text: payload(job, item, "text"),
+        text: payload(job, item, "text").into(),
         versions: vec![1],
         score: None,
     };
@@ -116,12 +120,14 @@
             node: NodeId(1),
             vote: content.vote,
             log: content.log,
+            applied: content.applied,
             seed: 1,
         };
         let voter = DiskVoter {
             node: ConsensusNode::new(time, ConsensusConfig::default(), start),
             folder,
             snapshots: SnapshotThresholds::default(),
+            log_tail_bytes: LOG_TAIL_BYTES,
         };
         let mut replica = Self {
             voter,
@@ -131,9 +137,10 @@
         if replica.voter.node.log().last_index() == 0 {
             replica.found();
         }
-        let snapshot = replica.voter.node.log().snapshot().clone();
-        if !snapshot.data.is_empty() {
-            replica.state = codec::decode(&snapshot.data).unwrap();
+        let snapshot = replica.voter.read_snapshot().unwrap();
+        let data = snapshot.data.inline().filter(|it| !it.is_empty());
+        if let Some(data) = data {
+            replica.state = codec::decode(data).unwrap();
         }
         replica.state.skip(snapshot.index);
         while !replica.voter.leads() || replica.voter.node.confirmed_commit(replica.time).is_none()
@@ -170,7 +177,7 @@
     /// Proposes a command, and returns once it is applied.
     fn commit(&mut self, command: &StateCommand) {
         let mut outputs = Vec::new();
-        let bytes = encode_command(command);
+        let bytes = encode_command(command).unwrap();
         let proposed = self.voter.node.propose(self.time, bytes, &mut outputs);
         self.process(outputs);
         assert_eq!(self.state.index, proposed.unwrap());
@@ -184,18 +191,19 @@
             };
             match entry.body {
                 EntryBody::Command(bytes) => {
-                    let command = decode_command(&bytes).unwrap();
+                    let command = decode_command(entry.index, &bytes).unwrap();
                     self.state.apply(entry.index, command);
                 }
                 EntryBody::Noop | EntryBody::Membership(_) => self.state.skip(entry.index),
+                EntryBody::Stored(_) => panic!("entry {} without its command", entry.index),
             }
         }
         if self.voter.needs_snapshot() {
-            let mut outputs = Vec::new();
-            let data = codec::encode(&self.state);
-            let node = &mut self.voter.node;
-            node.compact(self.state.index, data, &mut outputs);
-            self.voter.persist(self.time, outputs).unwrap();
+            let writer = self.voter.start_snapshot(self.state.index).unwrap();
+            let written = writer.write(&codec::encode(&self.state)).unwrap();
+            self.voter.finish_snapshot(written);
+            let first_needed = self.state.first_needed_entry();
+            self.voter.release_log(first_needed).unwrap();
         }
     }
 
@@ -205,7 +213,18 @@
         assert_eq!(record.results.len(), ITEMS as usize);
         for result in &record.results {
             let expected = payload(job, result.item, "text");
-            assert!(result.text == expected, "{job}: another text");
+            let text = match &result.text {
+                PayloadRef::Inline(bytes) => bytes.clone(),
+                PayloadRef::Entry {
+                    index,
+                    start,
+                    length,
+                } => {
+                    let range = *start..*start + *length;
+                    self.voter.read_command(*index, range).unwrap().unwrap()
+                }
+            };
+            assert!(text == expected, "{job}: another text");
         }
     }
 }
