Derive shares of memory and disk from the limits of a process

Cause: no queue, buffer or store knew how much memory or disk its process may use; the settings' memory-mb and disk-mb were not read. Change: the adapter reads both into ResourceLimits; ResourceBudget divides them into named shares, checks at compile time that they add up, logs them at start, and a limit that can't work ends the start with an error.

--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -10,6 +10,9 @@
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
+use crate::budget::BudgetError;
+use crate::budget::ResourceBudget;
+use crate::budget::ResourceLimits;
 use crate::dialect::TargetDialect;
 use crate::directory::KeeperDirectory;
 use crate::entry_shared::EntryShared;
@@ -54,6 +57,8 @@
     pub relay: Option<SocketAddr>,
     /// Length of a usage window, in milliseconds.
     pub usage_window_ms: u64,
+    /// Limits on the resources of this entry.
+    pub limits: ResourceLimits,
 }
 
 /// Event loop that owns an entry's links to the keepers.
@@ -86,7 +91,16 @@
 }
 
 /// Spawns an entry's event loop; must be called within the runtime.
-pub fn start_entry<D: TargetDialect>(settings: EntrySettings, dialect: D) -> EntryHandle<D> {
+///
+/// # Errors
+///
+/// Returns an error if the memory limit is too low.
+pub fn start_entry<D: TargetDialect>(
+    settings: EntrySettings,
+    dialect: D,
+) -> Result<EntryHandle<D>, BudgetError> {
+    let budget = ResourceBudget::for_entry(settings.limits)?;
+    budget.log("entry", settings.limits);
     let (leader, requests) = LeaderClient::new();
     let (sender, events) = mpsc::unbounded_channel();
     let (seed_sender, seeds) = mpsc::unbounded_channel();
@@ -131,11 +145,11 @@
         sent_usage: UsageSums::default(),
     };
     tokio::spawn(entry.run());
-    EntryHandle {
+    Ok(EntryHandle {
         shared,
         seeds: seed_sender,
         hub,
-    }
+    })
 }
 
 impl<D: TargetDialect> EntryLoop<D> {
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -37,6 +37,9 @@
 use tokio::sync::oneshot;
 
 use self::core::KeeperCore;
+use crate::budget::BudgetError;
+use crate::budget::ResourceBudget;
+use crate::budget::ResourceLimits;
 use crate::dialect::TargetDialect;
 use crate::frames::HelloFrame;
 use crate::leader_client::LeaderClient;
@@ -85,6 +88,8 @@
     pub receivers_check_fences: bool,
     /// Address of the platform's interface, which usage reports go to; if `None`, none are sent.
     pub platform: Option<SocketAddr>,
+    /// Limits on the resources of this keeper.
+    pub limits: ResourceLimits,
 }
 
 /// Input to the control thread other than link events and calls to the leader.
@@ -176,11 +181,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the data folder can't be opened or the control thread can't be started.
+/// Returns an error if the limits are too low, the data folder can't be opened or the control thread
+/// can't be started.
 pub fn start_keeper<D: TargetDialect>(
     settings: KeeperSettings,
     dialect: D,
 ) -> Result<(KeeperHandle, Arc<LinkHub>), KeeperError> {
+    let budget = ResourceBudget::for_keeper(settings.limits)?;
+    budget.log("keeper", settings.limits);
     let (folder, content) = DataFolder::open(&settings.data, NodeId(rand::random()))?;
     let (leader, requests) = LeaderClient::new();
     let (link_sender, links) = mpsc::unbounded_channel::<LinkEvent>();
@@ -218,6 +226,9 @@
 /// Reason why a keeper could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum KeeperError {
+    /// The limits on the resources of the keeper are too low.
+    #[error(transparent)]
+    Budget(#[from] BudgetError),
     /// The data folder could not be opened.
     #[error("could not open the data folder: {0}")]
     Storage(#[from] StorageError),
--- a/crates/service/tests/targets/group.rs
+++ b/crates/service/tests/targets/group.rs
@@ -20,6 +20,7 @@
 
 use crate::support::TestDialect;
 use crate::support::view;
+use bergamotlane_service::budget::ResourceLimits;
 use bergamotlane_service::entry::EntryHandle;
 use bergamotlane_service::entry::EntrySettings;
 use bergamotlane_service::entry::start_entry;
@@ -160,8 +161,9 @@
                 seeds: BTreeSet::from([address]),
                 relay: Some(relay),
                 usage_window_ms: 60_000,
+                limits: ResourceLimits::default(),
             };
-            let handle = start_entry(settings, TestDialect);
+            let handle = start_entry(settings, TestDialect).unwrap();
             tokio::spawn(Arc::clone(&handle.hub).listen(listener));
             let link = loop {
                 match timeout(TIMEOUT, events.recv()).await.unwrap().unwrap() {
