Refuse jobs for which there is no space before they are proposed

Cause: a leader proposed each job it was sent; the log filled the disk and the state the memory of all keepers, and with them went plans, reads and results of jobs that had been accepted. Change: policy::admission decides without I/O, from what is stored, the results that open items are expected to have, the shares and the job's size; the leader asks it in handle_change. Refused jobs get NoPermit with a time to return, taken from how fast space became free or 3 s, spread; jobs that can never fit get Conflict. A job that was proposed already is not refused, and a refusal after an unanswered try is reported as unclear, since that try may still be carried out. Evidence: before, stored::a_full_store_refuses_new_jobs_and_takes_everything_else (80 jobs of 1 MB, 64 MB of disk) and stored::a_job_that_never_fits_is_not_asked_to_return failed, all jobs were accepted; without the check in LeaderClient, a_refusal_after_an_unanswered_try_is_unclear failed.

--- a/crates/policy/src/lib.rs
+++ b/crates/policy/src/lib.rs
@@ -14,9 +14,11 @@
 //! - [`retry`]: retry budget and backoff.
 //! - [`suspect`]: requests under which targets crashed.
 //! - [`meter`]: usage counted at an entry and sent in numbered increments.
+//! - [`admission`]: whether a batch job fits into disk and memory.
 //! - [`arrival`]: arrival rates.
 //! - [`finding`]: validation errors with their position in the input.
 
+pub mod admission;
 pub mod arrival;
 pub mod control;
 pub mod fair;
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -195,7 +195,8 @@
     Unclear,
     /// Nothing exists under the name in the call.
     Missing,
-    /// The change conflicts with the current state and was not made.
+    /// The change conflicts with the current state, or a job is larger than any that is accepted; it
+    /// was not made.
     Conflict,
     /// Document of the plan, as the operator sent it.
     Document(Bytes),
@@ -218,7 +219,8 @@
     Retired(bool),
     /// The request may be sent to its target after this delay, in milliseconds.
     Permit(u64),
-    /// The request must not be sent; a permit is free after this time, in milliseconds.
+    /// The request must not be sent, or the job was not accepted; a permit or space is free after this
+    /// time, in milliseconds.
     NoPermit(u64),
 }
 
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -134,9 +134,13 @@
                 .is_some_and(|it| it >= version),
             _ => false,
         };
-        match done {
-            true => self.reply(origin, LeaderReply::Done),
-            false => self.propose(command, origin),
+        if done {
+            self.reply(origin, LeaderReply::Done);
+            return;
+        }
+        match command {
+            StateCommand::Submit(submission) => self.submit_job(command, submission, origin),
+            _ => self.propose(command, origin),
         }
     }
 
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -15,7 +15,9 @@
 use super::KeeperSettings;
 use super::lead::LeaderState;
 use super::memory::MemoryReport;
+use super::submissions::SubmissionGate;
 use super::targets::load_targets;
+use crate::budget::ResourceBudget;
 use crate::dialect::TargetDialect;
 use crate::directory::GroupMembers;
 use crate::directory::KeeperDirectory;
@@ -158,6 +160,9 @@
     /// Time of the next replication of partial texts.
     pub(super) texts_due: ClockTime,
     pub(super) memory: MemoryReport,
+    /// Shares of the memory and the disk.
+    pub(super) budget: ResourceBudget,
+    pub(super) submissions: SubmissionGate,
 }
 
 fn open_voter(folder: DataFolder, content: FolderContent, time: ClockTime) -> DiskVoter {
@@ -200,6 +205,7 @@
         leader: LeaderClient,
         hello: HelloFrame,
         folder: (DataFolder, FolderContent),
+        budget: ResourceBudget,
         hub: Arc<LinkHub>,
         events: mpsc::UnboundedSender<KeeperEvent>,
     ) -> Self {
@@ -250,6 +256,8 @@
             text_journal,
             texts_due: time,
             memory: MemoryReport::default(),
+            submissions: SubmissionGate::new(&budget),
+            budget,
         };
         core.restore_from_disk();
         core.directory.set_members(core.members());
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -19,6 +19,7 @@
 mod peers;
 mod repair;
 mod scoring;
+mod submissions;
 mod suspects;
 mod targets;
 mod texts;
@@ -213,6 +214,7 @@
         leader.clone(),
         hello,
         (folder, content),
+        budget,
         Arc::clone(&hub),
         events.clone(),
     );
--- a/crates/service/src/leader_client.rs
+++ b/crates/service/src/leader_client.rs
@@ -14,6 +14,7 @@
 use crate::frames::LinkFrame;
 use crate::link::LinkHub;
 use crate::link::LinkId;
+use crate::state::StateCommand;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
 
@@ -130,6 +131,7 @@
             LeaderCall::ReadJob { wait_ms, .. } => *wait_ms,
             _ => 0,
         };
+        let is_submission = matches!(&call, LeaderCall::Change(StateCommand::Submit(_)));
         let mut failure = CallFailure::NotSent;
         loop {
             let left_ms = limit.since(now());
@@ -150,6 +152,12 @@
                 Ok(Ok(CallResult::Answered(LeaderReply::Unclear))) => {
                     failure = CallFailure::Unclear;
                 }
+                // A try that was not answered may still be carried out after the refusal.
+                Ok(Ok(CallResult::Answered(LeaderReply::NoPermit(_) | LeaderReply::Conflict)))
+                    if is_submission && failure == CallFailure::Unclear =>
+                {
+                    return Err(failure);
+                }
                 Ok(Ok(CallResult::Answered(reply))) => return Ok(reply),
                 Ok(Ok(CallResult::Broken) | Err(_)) | Err(_) => failure = CallFailure::Unclear,
             }
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -87,6 +87,10 @@
     pub resident_kb: IntGauge,
     /// Size of the consensus log, in bytes.
     pub log_bytes: IntGauge,
+    /// Size of the jobs' records in the state, in bytes, as the leader measured it.
+    pub state_bytes: IntGauge,
+    /// Number of jobs that were refused, by the share that was full.
+    pub jobs_refused: IntCounterVec,
     lines_dropped: IntGauge,
 }
 
@@ -152,6 +156,8 @@
             partial_texts: gauge("partial_texts", "Partial texts that are kept."),
             resident_kb: gauge("resident_kb", "Resident memory."),
             log_bytes: gauge("log_bytes", "Size of the log."),
+            state_bytes: gauge("state_bytes", "Size of the jobs' records."),
+            jobs_refused: counters("jobs_refused_total", "Jobs refused, no space.", "share"),
             lines_dropped: gauge("log_lines_dropped", "Log lines dropped, queue full."),
             registry,
         }
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -6,4 +6,5 @@
 mod group;
 mod relay;
 mod run;
+mod stored;
 mod support;
