Bound what all links of a process hold, in both directions

Cause: each link could hold 4 MB of frames for a peer that does not read, so that many links held more than the process may use; received frames went into an unbounded channel, and one peer could make the process hold 64 MiB of parts. A frame that a build does not know ended the link. Change: OutboxBudget counts each frame's memory once over all links; above the share, the links for which most waits end at once. InboxBudget gives permits for the bytes of received frames, which the handler returns, so a reader waits before it reads on. Keepers have half of the share for themselves; a frame in several parts takes the only place for such frames before its first permit, so readers don't wait for one another. Frames too long for the share are skipped, except those of keepers, which are received one at a time. Unknown frames are skipped with one line for a link. Time limits hold for each part, and the parts of a frame are decoded without being joined first. Conclusion: what links hold is bounded by the budget in both directions.

--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -25,6 +25,7 @@
 use crate::leader_client::CallRequest;
 use crate::leader_client::LeaderClient;
 use crate::leader_client::PendingCalls;
+use crate::link::LinkBudget;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::link::LinkId;
@@ -127,7 +128,7 @@
     );
     let shared = Arc::new(EntryShared::new(leader, forwarder.with_relay(relay)));
     let directory = KeeperDirectory::new(now(), &settings.name, settings.seeds.clone());
-    let hub = LinkHub::new(hello, sender);
+    let hub = LinkHub::with_budget(hello, sender, LinkBudget::from(&budget));
     let entry = EntryLoop {
         process_run,
         shared: Arc::clone(&shared),
@@ -218,7 +219,7 @@
                 }
                 self.calls.fail_link(link);
             }
-            LinkEvent::Frame(link, frame) => self.on_frame(link, frame),
+            LinkEvent::Frame(link, frame, _receipt) => self.on_frame(link, frame),
         }
     }
 
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -92,6 +92,14 @@
     Leader,
 }
 
+/// Ways from the control thread to the rest of the process.
+#[derive(Debug)]
+pub(super) struct KeeperChannels {
+    pub(super) leader: LeaderClient,
+    pub(super) hub: Arc<LinkHub>,
+    pub(super) events: mpsc::UnboundedSender<KeeperEvent>,
+}
+
 /// A proposed change that has not been applied yet.
 #[derive(Debug)]
 pub(super) struct PendingChange {
@@ -202,13 +210,16 @@
     pub(super) fn new(
         settings: KeeperSettings,
         dialect: D,
-        leader: LeaderClient,
+        channels: KeeperChannels,
         hello: HelloFrame,
         folder: (DataFolder, FolderContent),
         budget: ResourceBudget,
-        hub: Arc<LinkHub>,
-        events: mpsc::UnboundedSender<KeeperEvent>,
     ) -> Self {
+        let KeeperChannels {
+            leader,
+            hub,
+            events,
+        } = channels;
         let time = now();
         let last_targets = load_targets(&settings.data);
         let (text_journal, texts) = open_texts(&settings.data, time);
--- a/crates/service/src/keeper/dispatch.rs
+++ b/crates/service/src/keeper/dispatch.rs
@@ -25,7 +25,7 @@
                 dialled,
             } => self.on_link_up(link, hello, dialled),
             LinkEvent::Down(link) => self.on_link_down(link),
-            LinkEvent::Frame(link, frame) => self.on_frame(link, frame),
+            LinkEvent::Frame(link, frame, _receipt) => self.on_frame(link, frame),
         }
     }
 
--- a/crates/service/src/keeper/memory.rs
+++ b/crates/service/src/keeper/memory.rs
@@ -39,6 +39,8 @@
         let log_bytes = self.voter.as_ref().map_or(0, |it| it.folder.log_bytes());
         METRICS.links.set(links as i64);
         METRICS.queued_bytes.set(queued_bytes as i64);
+        let received_bytes = self.hub.received_bytes();
+        METRICS.received_bytes.set(received_bytes as i64);
         METRICS.partial_texts.set(self.texts.len() as i64);
         METRICS.log_bytes.set(log_bytes as i64);
         let Some(resident_kb) = resident_kb() else {
@@ -54,6 +56,7 @@
             resident_kb,
             links,
             queued_bytes,
+            received_bytes,
             log_bytes,
             texts = self.texts.len(),
             jobs = self.state.jobs.iter().count(),
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -37,6 +37,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use self::core::KeeperChannels;
 use self::core::KeeperCore;
 use crate::budget::BudgetError;
 use crate::budget::ResourceBudget;
@@ -45,6 +46,7 @@
 use crate::frames::HelloFrame;
 use crate::leader_client::LeaderClient;
 use crate::leaving::LeavingStart;
+use crate::link::LinkBudget;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::scoring::ScoreEnd;
@@ -207,16 +209,19 @@
         founds: settings.may_bootstrap && settings.seeds.contains(&settings.link),
         keepers: settings.seeds.clone(),
     };
-    let hub = LinkHub::new(hello.clone(), link_sender);
+    let hub = LinkHub::with_budget(hello.clone(), link_sender, LinkBudget::from(&budget));
+    let channels = KeeperChannels {
+        leader: leader.clone(),
+        hub: Arc::clone(&hub),
+        events: events.clone(),
+    };
     let core = KeeperCore::new(
         settings,
         dialect,
-        leader.clone(),
+        channels,
         hello,
         (folder, content),
         budget,
-        Arc::clone(&hub),
-        events.clone(),
     );
     let control = Builder::new_current_thread().enable_time().build()?;
     thread::Builder::new()
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod events;
 pub mod forward;
 pub mod frames;
+pub mod inbox;
 pub mod jobs;
 pub mod keeper;
 pub mod leader_client;
--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -15,6 +15,8 @@
 use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use futures_util::stream::SplitSink;
+use futures_util::stream::SplitStream;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -25,16 +27,24 @@
 use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite;
+use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use crate::budget::ResourceBudget;
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
 use crate::frames::LinkFrame;
+use crate::inbox::FramePool;
+use crate::inbox::FrameReceipt;
+use crate::inbox::InboxBudget;
+use crate::metrics::METRICS;
 use crate::outbox::FrameQueue;
 use crate::outbox::FrameSender;
+use crate::outbox::OutboxBudget;
 use crate::outbox::QueueFailure;
 use crate::outbox::frame_queue;
 use crate::parts::PART_BYTES;
+use crate::parts::ReceivedFrame;
 use crate::parts::feed_frame;
 use crate::parts::next_frame;
 use bergamotlane_wire::codec;
@@ -68,6 +78,12 @@
 /// Number of queued frames after the first that are written before the connection is flushed.
 const FLUSH_AFTER_FRAMES: usize = 64;
 
+/// Share of the links of a process without a budget in each direction, in bytes.
+const DEFAULT_LINK_BYTES: usize = 64 * 1024 * 1024;
+
+/// Largest hello frame, in bytes.
+const MAX_HELLO_BYTES: usize = 1024 * 1024;
+
 /// ID of a link, unique within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkId(pub u64);
@@ -81,8 +97,8 @@
     /// The peer closed the link.
     #[error("the peer closed the link")]
     Closed,
-    /// A message could not be decoded.
-    #[error("message could not be decoded: {0}")]
+    /// The hello frame could not be decoded.
+    #[error("hello frame could not be decoded: {0}")]
     Frame(#[from] WireError),
     /// A message does not fit the protocol: it is empty, too long, or not the hello frame that
     /// must come first.
@@ -94,11 +110,41 @@
     /// The process connected to its own address.
     #[error("connected to itself")]
     Itself,
+    /// Too much waited for all links of the process, and most of it for this one.
+    #[error("too much waits for the links of this process")]
+    Cut,
     /// Nothing was received, or nothing could be sent, within the time limit.
     #[error("silent for too long")]
     Silent,
 }
 
+/// Largest sizes of what all links of a process hold, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkBudget {
+    /// Frames that wait to be sent.
+    pub outbound_bytes: usize,
+    /// Frames that were received and not handled yet.
+    pub inbound_bytes: usize,
+}
+
+impl Default for LinkBudget {
+    fn default() -> Self {
+        Self {
+            outbound_bytes: DEFAULT_LINK_BYTES,
+            inbound_bytes: DEFAULT_LINK_BYTES,
+        }
+    }
+}
+
+impl From<&ResourceBudget> for LinkBudget {
+    fn from(budget: &ResourceBudget) -> Self {
+        Self {
+            outbound_bytes: budget.outbound_bytes as usize,
+            inbound_bytes: budget.inbound_bytes as usize,
+        }
+    }
+}
+
 /// Event that a [`LinkHub`] reports.
 #[derive(Debug)]
 pub enum LinkEvent {
@@ -113,8 +159,9 @@
     },
     /// A link went down.
     Down(LinkId),
-    /// A frame arrived on a link.
-    Frame(LinkId, LinkFrame),
+    /// A frame arrived on a link. Its receipt must be dropped once the frame is handled: until then, its
+    /// bytes count as received.
+    Frame(LinkId, LinkFrame, FrameReceipt),
 }
 
 type Socket = WebSocketStream<TcpStream>;
@@ -135,13 +182,26 @@
 #[derive(Debug)]
 pub struct LinkHub {
     state: Mutex<HubState>,
+    outbox: Arc<OutboxBudget>,
+    inbox: InboxBudget,
     events: mpsc::UnboundedSender<LinkEvent>,
 }
 
 impl LinkHub {
-    /// Returns a hub without links that reports to `events`.
+    /// Returns a hub without links that reports to `events`, with the default budget.
     pub fn new(hello: HelloFrame, events: mpsc::UnboundedSender<LinkEvent>) -> Arc<Self> {
+        Self::with_budget(hello, events, LinkBudget::default())
+    }
+
+    /// Returns a hub without links that reports to `events`.
+    pub fn with_budget(
+        hello: HelloFrame,
+        events: mpsc::UnboundedSender<LinkEvent>,
+        budget: LinkBudget,
+    ) -> Arc<Self> {
         Arc::new(Self {
+            outbox: Arc::new(OutboxBudget::new(budget.outbound_bytes)),
+            inbox: InboxBudget::new(budget.inbound_bytes),
             state: Mutex::new(HubState {
                 hello,
                 hint: LeadHint::default(),
@@ -176,23 +236,45 @@
     /// Queues an encoded frame on a link; returns false if the link is down.
     ///
     /// If too much waits for the peer already, the link ends once what waits is sent or the peer has
-    /// been silent for too long: a link that goes on must not lack a frame.
+    /// been silent for too long: a link that goes on must not lack a frame. If too much waits for all
+    /// peers together, the links for which most of it waits end at once.
     pub fn send_encoded(&self, link: LinkId, frame: Bytes) -> bool {
         let mut state = self.state();
         let Some(sender) = state.links.get(&link) else {
             return false;
         };
         match sender.send(frame) {
-            Ok(()) => true,
+            Ok(()) => {
+                self.shed(&mut state);
+                true
+            }
             Err(QueueFailure::Closed) => false,
             Err(QueueFailure::Full) => {
-                spdlog::warn!("link: peer does not read, link ends", kv: { link = link.0, queued_bytes = sender.queued_bytes() });
+                spdlog::warn!("link: peer does not read, link ends", kv: { link = link.0, queued_bytes = sender.held_bytes() });
                 state.links.remove(&link);
                 false
             }
         }
     }
 
+    /// Ends the links for which most waits until no more waits than is allowed.
+    fn shed(&self, state: &mut HubState) {
+        while self.outbox.is_exceeded() {
+            let sizes = state
+                .links
+                .iter()
+                .map(|(link, it)| (it.held_bytes(), *link));
+            let Some((held_bytes, link)) = sizes.max().filter(|(bytes, _)| *bytes > 0) else {
+                return;
+            };
+            spdlog::warn!("link: too much waits for all links, the fullest ends", kv: { link = link.0, queued_bytes = held_bytes, all_bytes = self.outbox.held_bytes() });
+            METRICS.links_cut.inc();
+            if let Some(sender) = state.links.remove(&link) {
+                sender.cut();
+            }
+        }
+    }
+
     /// Ends a link. Unless its address is still one of the peers, it is not made again.
     pub fn close(&self, link: LinkId) {
         self.state().links.remove(&link);
@@ -200,9 +282,18 @@
 
     /// Returns the number of links, and the size of all frames that wait on them, in bytes.
     pub fn load(&self) -> (usize, usize) {
+        (self.state().links.len(), self.outbox.held_bytes())
+    }
+
+    /// Returns the size of the frames that wait on a link, in bytes.
+    pub fn queued_bytes(&self, link: LinkId) -> usize {
         let state = self.state();
-        let queued_bytes = state.links.values().map(FrameSender::queued_bytes);
-        (state.links.len(), queued_bytes.sum())
+        state.links.get(&link).map_or(0, FrameSender::held_bytes)
+    }
+
+    /// Returns the size of the frames that were received and not handled yet, in bytes.
+    pub fn received_bytes(&self) -> usize {
+        self.inbox.held_bytes()
     }
 
     /// Maintains links to exactly these addresses, except this process's own. Existing links to
@@ -289,10 +380,13 @@
     async fn exchange_hello(&self, mut socket: Socket) -> Result<(Socket, HelloFrame), LinkError> {
         let own_hello = self.state().hello.clone();
         let message = codec::encode(&LinkFrame::Hello(own_hello.clone()));
-        feed_frame(&mut socket, &message).await?;
+        feed_frame(&mut socket, &message, SILENCE_LIMIT).await?;
         socket.flush().await?;
-        let LinkFrame::Hello(peer_hello) = next_frame(&mut socket).await? else {
-            return Err(LinkError::Unexpected);
+        let pool = FramePool::new(MAX_HELLO_BYTES, false);
+        let peer_hello = match next_frame(&mut socket, &pool, SILENCE_LIMIT).await? {
+            ReceivedFrame::Whole(LinkFrame::Hello(hello), _) => hello,
+            ReceivedFrame::Unknown(error) => return Err(error.into()),
+            _ => return Err(LinkError::Unexpected),
         };
         if peer_hello.run == own_hello.run {
             return Err(LinkError::Itself);
@@ -304,7 +398,7 @@
     }
 
     async fn run(&self, socket: Socket, hello: HelloFrame, dialled: bool) {
-        let (sender, outbound) = frame_queue();
+        let (sender, outbound) = frame_queue(&self.outbox);
         let link = {
             let mut state = self.state();
             state.next_link += 1;
@@ -313,13 +407,14 @@
             link
         };
         let peer = hello.name.clone();
+        let pool = self.inbox.pool(hello.node.is_some());
         spdlog::info!("link: up", kv: { peer = peer.as_str(), dialled });
         self.report(LinkEvent::Up {
             link,
             hello,
             dialled,
         });
-        let error = self.transfer(socket, link, outbound).await;
+        let error = self.transfer(socket, link, outbound, pool).await;
         spdlog::info!("link: down", kv: { peer = peer.as_str(), dialled, error = error.to_string() });
         self.state().links.remove(&link);
         self.report(LinkEvent::Down(link));
@@ -331,51 +426,89 @@
     }
 
     /// Sends queued frames and reports received ones until the link fails.
-    async fn transfer(&self, socket: Socket, link: LinkId, mut outbound: FrameQueue) -> LinkError {
-        let (mut sink, mut source) = socket.split();
-        let write = async {
-            loop {
-                let first = match timeout(PING_INTERVAL, outbound.recv()).await {
-                    Ok(Some(frame)) => frame,
-                    Ok(None) => return LinkError::Closed,
-                    Err(_) => {
-                        let hint = self.state().hint;
-                        codec::encode(&LinkFrame::Ping(hint))
-                    }
-                };
-                let send = async {
-                    feed_frame(&mut sink, &first).await?;
-                    for _ in 0..FLUSH_AFTER_FRAMES {
-                        match outbound.try_recv() {
-                            Some(frame) => feed_frame(&mut sink, &frame).await?,
-                            None => break,
-                        }
-                    }
-                    sink.flush().await
-                };
-                match timeout(SILENCE_LIMIT, send).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(error)) => return LinkError::Transport(error),
-                    Err(_) => return LinkError::Silent,
+    async fn transfer(
+        &self,
+        socket: Socket,
+        link: LinkId,
+        outbound: FrameQueue,
+        pool: &FramePool,
+    ) -> LinkError {
+        let (sink, source) = socket.split();
+        let cut = outbound.cut_signal();
+        tokio::select! {
+            error = self.write(sink, outbound) => error,
+            error = self.read(source, link, pool) => error,
+            () = cut.wait() => LinkError::Cut,
+        }
+    }
+
+    /// Sends queued frames, and a heartbeat when there are none, until the link fails.
+    async fn write(
+        &self,
+        mut sink: SplitSink<Socket, Message>,
+        mut outbound: FrameQueue,
+    ) -> LinkError {
+        loop {
+            let first = match timeout(PING_INTERVAL, outbound.recv()).await {
+                Ok(Some(frame)) => frame,
+                Ok(None) => return LinkError::Closed,
+                Err(_) => {
+                    let hint = self.state().hint;
+                    codec::encode(&LinkFrame::Ping(hint))
                 }
+            };
+            if let Err(error) = write_frames(&mut sink, &mut outbound, first).await {
+                return error;
             }
-        };
-        let read = async {
-            loop {
-                match timeout(SILENCE_LIMIT, next_frame(&mut source)).await {
-                    Ok(Ok(frame)) => self.report(LinkEvent::Frame(link, frame)),
-                    Ok(Err(error)) => return error,
-                    Err(_) => return LinkError::Silent,
+        }
+    }
+
+    /// Reports received frames until the link fails. Frames that this build does not know, or that are
+    /// too long, are skipped.
+    async fn read(
+        &self,
+        mut source: SplitStream<Socket>,
+        link: LinkId,
+        pool: &FramePool,
+    ) -> LinkError {
+        let mut has_skipped = false;
+        loop {
+            let skipped = match next_frame(&mut source, pool, SILENCE_LIMIT).await {
+                Ok(ReceivedFrame::Whole(frame, receipt)) => {
+                    self.report(LinkEvent::Frame(link, frame, receipt));
+                    continue;
                 }
+                Ok(ReceivedFrame::Unknown(error)) => error.to_string(),
+                Ok(ReceivedFrame::TooLong(bytes)) => format!("too long: {bytes} bytes"),
+                Err(error) => return error,
+            };
+            METRICS.frames_skipped.inc();
+            // One line is enough: a build that sends unknown frames sends many of them.
+            if !std::mem::replace(&mut has_skipped, true) {
+                spdlog::warn!("link: frames skipped", kv: { link = link.0, first = skipped });
             }
-        };
-        tokio::select! {
-            error = write => error,
-            error = read => error,
         }
     }
 }
 
+/// Writes a frame and those that wait behind it, and flushes the connection.
+async fn write_frames(
+    sink: &mut SplitSink<Socket, Message>,
+    outbound: &mut FrameQueue,
+    first: Bytes,
+) -> Result<(), LinkError> {
+    feed_frame(sink, &first, SILENCE_LIMIT).await?;
+    drop(first);
+    for _ in 0..FLUSH_AFTER_FRAMES {
+        match outbound.try_recv() {
+            Some(frame) => feed_frame(sink, &frame, SILENCE_LIMIT).await?,
+            None => break,
+        }
+    }
+    let flushed = timeout(SILENCE_LIMIT, sink.flush()).await;
+    Ok(flushed.map_err(|_| LinkError::Silent)??)
+}
+
 fn socket_config() -> WebSocketConfig {
     WebSocketConfig::default()
         .read_buffer_size(READ_BUFFER_BYTES)
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -91,6 +91,12 @@
     pub state_bytes: IntGauge,
     /// Number of jobs that were refused, by the share that was full.
     pub jobs_refused: IntCounterVec,
+    /// Size of the frames that were received and not handled yet, in bytes.
+    pub received_bytes: IntGauge,
+    /// Number of received frames that were skipped: unknown to this build, or too long.
+    pub frames_skipped: IntCounter,
+    /// Number of links that ended since too much waited for all links.
+    pub links_cut: IntCounter,
     lines_dropped: IntGauge,
 }
 
@@ -156,6 +162,9 @@
             partial_texts: gauge("partial_texts", "Partial texts that are kept."),
             resident_kb: gauge("resident_kb", "Resident memory."),
             log_bytes: gauge("log_bytes", "Size of the log."),
+            received_bytes: gauge("link_received_bytes", "Frames not handled yet."),
+            frames_skipped: counter("link_frames_skipped_total", "Frames skipped."),
+            links_cut: counter("links_cut_total", "Links ended, too much waited."),
             state_bytes: gauge("state_bytes", "Size of the jobs' records."),
             jobs_refused: counters("jobs_refused_total", "Jobs refused, no space.", "share"),
             lines_dropped: gauge("log_lines_dropped", "Log lines dropped, queue full."),
--- a/crates/service/tests/link.rs
+++ b/crates/service/tests/link.rs
@@ -1,6 +1,7 @@
 //! Tests of links whose peers don't behave.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -10,13 +11,17 @@
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::client_async;
 use tokio_tungstenite::tungstenite::Message;
 
 use bergamotlane_service::frames::HelloFrame;
+use bergamotlane_service::frames::LeaderReply;
 use bergamotlane_service::frames::LinkFrame;
+use bergamotlane_service::link::LinkBudget;
 use bergamotlane_service::link::LinkEvent;
 use bergamotlane_service::link::LinkHub;
+use bergamotlane_service::link::LinkId;
 use bergamotlane_wire::codec;
 
 /// Size of the frames that are sent, in bytes.
@@ -25,6 +30,12 @@
 /// Number of frames that must not all be kept for a peer that reads nothing.
 const FRAME_COUNT: usize = 64;
 
+/// Number of frames that each peer sends in a flood.
+const FLOOD_FRAMES: usize = 200;
+
+/// Size of a part of a frame, in bytes.
+const PART_BYTES: usize = 32 * 1024;
+
 /// Time limit for an event of the hub.
 const EVENT_LIMIT: Duration = Duration::from_secs(10);
 
@@ -43,6 +54,27 @@
     }
 }
 
+/// Links to a hub and introduces itself.
+async fn dial(address: SocketAddr, hello: HelloFrame) -> WebSocketStream<TcpStream> {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut socket, _) = client_async(format!("ws://{address}/"), stream)
+        .await
+        .unwrap();
+    // The first byte marks the last part of a frame.
+    let mut message = vec![0];
+    message.extend_from_slice(&codec::encode(&LinkFrame::Hello(hello)));
+    socket.send(Message::Binary(message.into())).await.unwrap();
+    socket
+}
+
+/// Peers that are linked to a hub.
+struct SilentPeers {
+    hub: Arc<LinkHub>,
+    events: mpsc::UnboundedReceiver<LinkEvent>,
+    links: Vec<LinkId>,
+    sockets: Vec<WebSocketStream<TcpStream>>,
+}
+
 /// Guards against memory that grows with each frame for a peer that does not read, and against a
 /// link that goes on after it has lost a frame.
 #[tokio::test]
@@ -52,14 +84,7 @@
     let (sender, mut events) = mpsc::unbounded_channel();
     let hub = LinkHub::new(hello(1), sender);
     tokio::spawn(Arc::clone(&hub).listen(listener));
-    let stream = TcpStream::connect(address).await.unwrap();
-    let (mut socket, _) = client_async(format!("ws://{address}/"), stream)
-        .await
-        .unwrap();
-    // The first byte marks the last part of a frame.
-    let mut message = vec![0];
-    message.extend_from_slice(&codec::encode(&LinkFrame::Hello(hello(2))));
-    socket.send(Message::Binary(message.into())).await.unwrap();
+    let _socket = dial(address, hello(2)).await;
     let event = timeout(EVENT_LIMIT, events.recv()).await.unwrap();
     let Some(LinkEvent::Up { link, .. }) = event else {
         panic!("expected a link, got {event:?}");
@@ -73,3 +98,183 @@
     let event = timeout(EVENT_LIMIT, events.recv()).await.unwrap();
     assert!(matches!(event, Some(LinkEvent::Down(it)) if it == link));
 }
+
+/// Accepts the links of many peers to a hub with this budget, none of which reads or sends.
+async fn silent_peers(count: u64, budget: LinkBudget) -> SilentPeers {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let hub = LinkHub::with_budget(hello(1), sender, budget);
+    tokio::spawn(Arc::clone(&hub).listen(listener));
+    let (mut sockets, mut links) = (Vec::new(), Vec::new());
+    for run in 0..count {
+        sockets.push(dial(address, hello(2 + run)).await);
+        let event = timeout(EVENT_LIMIT, events.recv()).await.unwrap();
+        let Some(LinkEvent::Up { link, .. }) = event else {
+            panic!("expected a link, got {event:?}");
+        };
+        links.push(link);
+    }
+    SilentPeers {
+        hub,
+        events,
+        links,
+        sockets,
+    }
+}
+
+/// Guards against queues that each stay within their bound and together exceed the memory.
+#[tokio::test]
+async fn what_waits_on_all_links_is_bounded() {
+    let outbound_bytes = 8 * FRAME_BYTES;
+    let budget = LinkBudget {
+        outbound_bytes,
+        ..LinkBudget::default()
+    };
+    let peers = silent_peers(12, budget).await;
+    for round in 0..4 {
+        for link in &peers.links {
+            // Each frame has memory of its own.
+            let frame = Bytes::from(vec![round; FRAME_BYTES]);
+            peers.hub.send_encoded(*link, frame);
+            let held_bytes = peers.hub.load().1;
+            assert!(held_bytes <= outbound_bytes, "{held_bytes}");
+        }
+    }
+    assert!(peers.hub.load().0 < 12);
+}
+
+/// Guards against links that end because a frame that all of them share is counted for each.
+#[tokio::test]
+async fn a_frame_that_waits_on_many_links_counts_once() {
+    let budget = LinkBudget {
+        outbound_bytes: 2 * FRAME_BYTES,
+        ..LinkBudget::default()
+    };
+    let peers = silent_peers(12, budget).await;
+    let frame = Bytes::from(vec![7; FRAME_BYTES]);
+    for link in &peers.links {
+        assert!(peers.hub.send_encoded(*link, frame.clone()));
+    }
+    assert_eq!(peers.hub.load(), (12, FRAME_BYTES));
+}
+
+/// Returns the messages of a frame of which each peer sends many.
+fn texts_message(bytes: usize) -> Message {
+    let body = Bytes::from(vec![7; bytes]);
+    let frame = LinkFrame::Reply {
+        id: 1,
+        reply: LeaderReply::Document(body),
+    };
+    let mut message = vec![0];
+    message.extend_from_slice(&codec::encode(&frame));
+    Message::Binary(message.into())
+}
+
+/// Guards against frames that pile up in memory while the control thread is slow.
+#[tokio::test]
+async fn frames_that_are_not_handled_hold_their_sender_back() {
+    let budget = LinkBudget {
+        inbound_bytes: 2 * FRAME_BYTES,
+        ..LinkBudget::default()
+    };
+    let mut peers = silent_peers(4, budget).await;
+    let mut senders = Vec::new();
+    for mut socket in peers.sockets.drain(..) {
+        senders.push(tokio::spawn(async move {
+            let mut sent = 0;
+            while sent < FLOOD_FRAMES && socket.send(texts_message(16_000)).await.is_ok() {
+                sent += 1;
+            }
+            (sent, socket)
+        }));
+    }
+    // The pool of the peers is half of the budget.
+    let is_full = async {
+        while peers.hub.received_bytes() + 20_000 < FRAME_BYTES {
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(EVENT_LIMIT, is_full).await.unwrap();
+    let mut count = 0;
+    while count < 4 * FLOOD_FRAMES {
+        assert!(peers.hub.received_bytes() <= FRAME_BYTES);
+        let event = timeout(EVENT_LIMIT, peers.events.recv()).await.unwrap();
+        match event.unwrap() {
+            LinkEvent::Frame(_, _, receipt) => drop(receipt),
+            event => panic!("{event:?}"),
+        }
+        count += 1;
+    }
+    assert_eq!(peers.hub.received_bytes(), 0);
+}
+
+/// Sends a frame in parts; the last part is not sent.
+async fn send_parts(socket: &mut WebSocketStream<TcpStream>, count: usize) {
+    for _ in 0..count {
+        let mut message = vec![1];
+        message.extend_from_slice(&[7; PART_BYTES]);
+        socket.send(Message::Binary(message.into())).await.unwrap();
+    }
+}
+
+async fn next_event(peers: &mut SilentPeers) -> LinkEvent {
+    let event = timeout(EVENT_LIMIT, peers.events.recv()).await;
+    event.unwrap().unwrap()
+}
+
+/// Guards against peers whose unfinished frames take all permits, so that none can be finished, and
+/// against keepers who wait for what others send.
+#[tokio::test]
+async fn unfinished_frames_hold_up_neither_whole_ones_nor_keepers() {
+    let budget = LinkBudget {
+        inbound_bytes: 2 * FRAME_BYTES,
+        ..LinkBudget::default()
+    };
+    let mut peers = silent_peers(12, budget).await;
+    let mut sockets = std::mem::take(&mut peers.sockets);
+    for socket in &mut sockets[..11] {
+        send_parts(socket, 4).await;
+    }
+    sockets[11].send(texts_message(1_000)).await.unwrap();
+    let event = next_event(&mut peers).await;
+    assert!(matches!(event, LinkEvent::Frame(link, ..) if link == peers.links[11]));
+    assert!(peers.hub.received_bytes() <= FRAME_BYTES);
+}
+
+/// Guards against a peer that makes the process hold a frame for which it has no memory, and against
+/// the end of a link on which a frame was too long.
+#[tokio::test]
+async fn a_frame_that_is_too_long_is_skipped() {
+    let budget = LinkBudget {
+        inbound_bytes: 2 * FRAME_BYTES,
+        ..LinkBudget::default()
+    };
+    let mut peers = silent_peers(1, budget).await;
+    let mut socket = peers.sockets.remove(0);
+    send_parts(&mut socket, 3 * FRAME_BYTES / PART_BYTES).await;
+    socket
+        .send(Message::Binary(vec![0, 1].into()))
+        .await
+        .unwrap();
+    socket.send(texts_message(1_000)).await.unwrap();
+    let event = next_event(&mut peers).await;
+    assert!(matches!(event, LinkEvent::Frame(..)), "{event:?}");
+}
+
+/// Guards against links that end between two builds of which one sends frames that the other does
+/// not know.
+#[tokio::test]
+async fn a_frame_that_is_not_known_is_skipped() {
+    let mut peers = silent_peers(1, LinkBudget::default()).await;
+    let mut socket = peers.sockets.remove(0);
+    // A map with the key "Later" and the value 1.
+    let unknown = b"\x00\xa1\x65Later\x01";
+    let unknown = Bytes::from_static(unknown);
+    for _ in 0..3 {
+        socket.send(Message::Binary(unknown.clone())).await.unwrap();
+    }
+    socket.send(texts_message(1_000)).await.unwrap();
+    let event = next_event(&mut peers).await;
+    assert!(matches!(event, LinkEvent::Frame(..)), "{event:?}");
+}
--- a/crates/service/tests/targets/group.rs
+++ b/crates/service/tests/targets/group.rs
@@ -181,7 +181,7 @@
         let (answering, received) = (Arc::clone(&hub), Arc::clone(&calls));
         tokio::spawn(async move {
             while let Some(event) = events.recv().await {
-                if let LinkEvent::Frame(link, LinkFrame::Call { id, call }) = event {
+                if let LinkEvent::Frame(link, LinkFrame::Call { id, call }, _) = event {
                     received.lock().unwrap().push((link, call));
                     let reply = LeaderReply::Done;
                     answering.send(link, &LinkFrame::Reply { id, reply });
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -1,5 +1,7 @@
 //! CBOR encoding and decoding.
 
+use std::io::Read;
+
 use bytes::Bytes;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
@@ -34,5 +36,14 @@
 ///
 /// Returns [`WireError::Decode`] if the bytes aren't the encoding of a `T`.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
-    Ok(ciborium::from_reader(bytes)?)
+    decode_from(bytes)
+}
+
+/// Decodes a value from the CBOR that a reader yields.
+///
+/// # Errors
+///
+/// Returns [`WireError::Decode`] if the bytes aren't the encoding of a `T`.
+pub fn decode_from<T: DeserializeOwned>(reader: impl Read) -> Result<T, WireError> {
+    Ok(ciborium::from_reader(reader)?)
 }
