Bound the bodies and answers of all connections together

Cause: each connection could make the process hold a body of 32 MiB, and copies of it, and an answer that its caller did not read; nothing bounded their sum. Change: BodyBudget gives permits for the copies of a body while it is read and used, with a part kept for small ones, so that plans, look-ups and reads pass while large submissions are refused. Relayed requests need permits too, else they are refused.

--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -126,7 +126,11 @@
         &settings.zone,
         settings.usage_window_ms,
     );
-    let shared = Arc::new(EntryShared::new(leader, forwarder.with_relay(relay)));
+    let shared = Arc::new(EntryShared::new(
+        leader,
+        forwarder.with_relay(relay),
+        &budget,
+    ));
     let directory = KeeperDirectory::new(now(), &settings.name, settings.seeds.clone());
     let hub = LinkHub::with_budget(hello, sender, LinkBudget::from(&budget));
     let entry = EntryLoop {
--- a/crates/service/src/entry_shared.rs
+++ b/crates/service/src/entry_shared.rs
@@ -13,6 +13,9 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::bodies::AnswerBudget;
+use crate::bodies::BodyBudget;
+use crate::budget::ResourceBudget;
 use crate::dialect::TargetDialect;
 use crate::forward::Forwarder;
 use crate::leader_client::LeaderClient;
@@ -39,6 +42,10 @@
     has_routes: watch::Sender<bool>,
     entry_count: AtomicU32,
     draining: AtomicBool,
+    /// Budget of request bodies.
+    pub bodies: BodyBudget,
+    /// Budget of answers that callers have not read yet.
+    pub answers: AnswerBudget,
     /// Places for requests of other entries.
     relay_slots: Semaphore,
     /// Monotonic time of the last view, in milliseconds.
@@ -47,7 +54,11 @@
 
 impl<D: TargetDialect> EntryShared<D> {
     /// Returns the state before the first view.
-    pub(crate) fn new(leader: LeaderClient, forwarder: Forwarder<D>) -> Self {
+    pub(crate) fn new(
+        leader: LeaderClient,
+        forwarder: Forwarder<D>,
+        budget: &ResourceBudget,
+    ) -> Self {
         Self {
             leader,
             forwarder,
@@ -55,6 +66,8 @@
             has_routes: watch::Sender::new(false),
             entry_count: AtomicU32::new(1),
             draining: AtomicBool::new(false),
+            bodies: BodyBudget::new(budget.bodies_bytes),
+            answers: AnswerBudget::new(budget.replies_bytes),
             relay_slots: Semaphore::new(MAX_RELAYED),
             view_at: AtomicU64::new(0),
         }
@@ -125,6 +138,9 @@
         let Ok(_slot) = self.relay_slots.try_acquire() else {
             return RelayReply::Refused;
         };
+        let Some(_permit) = self.bodies.reserve(request.body_bytes()) else {
+            return RelayReply::Refused;
+        };
         if self.is_draining() || self.forwarder.reach().is_lost() {
             return RelayReply::Refused;
         }
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -39,6 +39,7 @@
 
 use self::core::KeeperChannels;
 use self::core::KeeperCore;
+use crate::bodies::BodyBudget;
 use crate::budget::BudgetError;
 use crate::budget::ResourceBudget;
 use crate::budget::ResourceLimits;
@@ -154,6 +155,8 @@
 pub struct KeeperHandle {
     /// Client for calls to the leader, which may be this keeper.
     pub leader: LeaderClient,
+    /// Budget of the bodies of requests to the control interface.
+    pub bodies: Arc<BodyBudget>,
     events: mpsc::UnboundedSender<KeeperEvent>,
 }
 
@@ -227,7 +230,13 @@
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || control.block_on(core.run(links, requests, inputs)))?;
-    Ok((KeeperHandle { leader, events }, hub))
+    let bodies = Arc::new(BodyBudget::new(budget.bodies_bytes));
+    let handle = KeeperHandle {
+        leader,
+        bodies,
+        events,
+    };
+    Ok((handle, hub))
 }
 
 /// Reason why a keeper could not start.
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -97,6 +97,10 @@
     pub frames_skipped: IntCounter,
     /// Number of links that ended since too much waited for all links.
     pub links_cut: IntCounter,
+    /// Number of requests refused because their bodies did not fit.
+    pub bodies_refused: IntCounter,
+    /// Number of requests refused because callers don't read their answers.
+    pub answers_refused: IntCounter,
     lines_dropped: IntGauge,
 }
 
@@ -165,6 +169,11 @@
             received_bytes: gauge("link_received_bytes", "Frames not handled yet."),
             frames_skipped: counter("link_frames_skipped_total", "Frames skipped."),
             links_cut: counter("links_cut_total", "Links ended, too much waited."),
+            bodies_refused: counter("bodies_refused_total", "Bodies refused, no room."),
+            answers_refused: counter(
+                "answers_refused_total",
+                "Requests refused, answers not read.",
+            ),
             state_bytes: gauge("state_bytes", "Size of the jobs' records."),
             jobs_refused: counters("jobs_refused_total", "Jobs refused, no space.", "share"),
             lines_dropped: gauge("log_lines_dropped", "Log lines dropped, queue full."),
--- a/crates/service/src/relay.rs
+++ b/crates/service/src/relay.rs
@@ -59,6 +59,11 @@
 }
 
 impl RelayRequest {
+    /// Returns the size of the request body, in bytes.
+    pub(crate) fn body_bytes(&self) -> usize {
+        self.body.len()
+    }
+
     /// Returns the service whose targets may take the request.
     pub fn service(&self) -> &str {
         &self.service
--- /dev/null
+++ b/crates/service/tests/bodies.rs
@@ -0,0 +1,48 @@
+//! Tests the budgets of request bodies and of answers.
+
+use bytes::Bytes;
+
+use bergamotlane_service::bodies::AnswerBudget;
+use bergamotlane_service::bodies::BodyBudget;
+use bergamotlane_service::bodies::SMALL_BODY_BYTES;
+
+/// Guards against small requests that are refused because of large ones.
+#[test]
+fn large_bodies_leave_room_for_small_ones() {
+    let budget = BodyBudget::new(8_000_000);
+    let max_bytes = budget.max_body_bytes();
+    let large = budget.reserve(max_bytes).unwrap();
+    assert!(budget.reserve(SMALL_BODY_BYTES + 1).is_none());
+    let small: Vec<_> = (0..10).map(|_| budget.reserve(1_000)).collect();
+    assert!(small.iter().all(Option::is_some));
+    drop(large);
+    assert!(budget.reserve(SMALL_BODY_BYTES + 1).is_some());
+}
+
+#[test]
+fn a_permit_grows_with_its_body() {
+    let budget = BodyBudget::new(8_000_000);
+    let mut permit = budget.reserve(SMALL_BODY_BYTES).unwrap();
+    assert!(budget.extend(&mut permit, 1_000));
+    assert!(budget.extend(&mut permit, budget.max_body_bytes()));
+    let mut other = budget.reserve(1_000).unwrap();
+    assert!(!budget.extend(&mut other, 100_000));
+    drop(permit);
+    assert!(budget.extend(&mut other, 100_000));
+}
+
+/// Guards against answers that pile up for callers who don't read.
+#[test]
+fn answers_are_held_until_they_are_read() {
+    let budget = AnswerBudget::new(1_000);
+    let first = budget.hold(Bytes::from(vec![1; 600]));
+    assert!(!budget.is_exhausted());
+    let second = budget.hold(Bytes::from(vec![2; 600]));
+    assert!(budget.is_exhausted());
+    assert_eq!(second, vec![2; 600]);
+    let copy = first.clone();
+    drop(first);
+    assert!(budget.is_exhausted());
+    drop(copy);
+    assert!(!budget.is_exhausted());
+}
