Send results only as far as there is room on the way to the reader

Cause: each reader's reply of up to 700 KB was queued at once; readers that read slowly filled the leader's memory, or their links ended with all that waited on them. Change: a reader gets as many results as fit into what is left of its link's and all links' share; if none fits, it waits as one that waits for results, up to a second or its own wait, and then gets an empty page. Replies with results have a module of their own; waiting readers are bounded in number. Conclusion: results are held back before links have to end.

--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -1,14 +1,10 @@
 //! Handling of calls that entries and the control interface make to the leader.
 
-use bytes::Bytes;
-
 use super::core::CallOrigin;
 use super::core::KeeperCore;
-use super::lead::ResultWaiter;
 use crate::dialect::TargetDialect;
 use crate::frames::LeaderCall;
 use crate::frames::LeaderReply;
-use crate::frames::ListedResult;
 use crate::jobs::JobRecord;
 use crate::leaving::LeavingStart;
 use crate::metrics::METRICS;
@@ -23,9 +19,6 @@
 use bergamotlane_policy::suspect::TargetStart;
 use bergamotlane_storage::clock::now;
 
-/// Limit for the text bytes of one reply; a single larger result is still returned.
-const MAX_RESULTS_BYTES: usize = 700 * 1024;
-
 impl<D: TargetDialect> KeeperCore<D> {
     /// Returns whether this keeper leads with a valid lease and has applied every entry that is
     /// known to be committed, those of earlier terms included.
@@ -154,7 +147,7 @@
     }
 
     /// Returns a job if it belongs to the customer.
-    fn customer_job(&self, job: &str, customer: Option<&str>) -> Option<&JobRecord> {
+    pub(super) fn customer_job(&self, job: &str, customer: Option<&str>) -> Option<&JobRecord> {
         let record = self.state.jobs.get(job)?;
         (record.submission.customer.as_deref() == customer).then_some(record)
     }
@@ -250,57 +243,6 @@
         self.confirm_leaving(id, born, true, origin);
     }
 
-    /// Returns the results of a job from a position on; without any, the reply waits for the first.
-    fn read_job(
-        &mut self,
-        job: String,
-        customer: Option<String>,
-        after: u64,
-        wait_ms: u64,
-        origin: CallOrigin,
-    ) {
-        let Some(record) = self.customer_job(&job, customer.as_deref()) else {
-            self.reply(origin, LeaderReply::Missing);
-            return;
-        };
-        let has_no_result = record.results.len() as u64 <= after && !record.is_settled();
-        if has_no_result && wait_ms > 0 {
-            let deadline = now() + wait_ms;
-            if let Some(lead) = &mut self.lead {
-                lead.waiters.push(ResultWaiter {
-                    job,
-                    after,
-                    deadline,
-                    origin,
-                });
-            }
-            return;
-        }
-        let reply = results_from(record, after);
-        self.reply(origin, reply);
-    }
-
-    /// Answers the readers that wait for results of `job`, and those whose deadline has passed.
-    pub(super) fn answer_waiters(&mut self, job: Option<&str>) {
-        let time = now();
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        let is_due = |it: &mut ResultWaiter| job == Some(it.job.as_str()) || time >= it.deadline;
-        let waiters: Vec<ResultWaiter> = lead.waiters.extract_if(.., is_due).collect();
-        for waiter in waiters {
-            let reply = match self.state.jobs.get(&waiter.job) {
-                Some(record) => results_from(record, waiter.after),
-                None => LeaderReply::Missing,
-            };
-            let reply = match self.is_confirmed_leader() {
-                true => reply,
-                false => LeaderReply::NotLeader,
-            };
-            self.reply(waiter.origin, reply);
-        }
-    }
-
     /// Returns the reply with the request body of an item that still has to run.
     fn read_item(&self, job: &str, customer: Option<&str>, item: &str) -> LeaderReply {
         let Some(record) = self.customer_job(job, customer) else {
@@ -332,28 +274,3 @@
         }
     }
 }
-
-/// Returns the results from position `after` on, up to [`MAX_RESULTS_BYTES`] of text.
-fn results_from(record: &JobRecord, after: u64) -> LeaderReply {
-    let after = (after as usize).min(record.results.len());
-    let mut bytes = 0;
-    let mut results = Vec::new();
-    for result in &record.results[after..] {
-        bytes += result.text.len();
-        if bytes > MAX_RESULTS_BYTES && !results.is_empty() {
-            break;
-        }
-        results.push(ListedResult {
-            id: record.submission.items[result.item as usize].id.clone(),
-            end: result.end,
-            text: Bytes::clone(&result.text),
-            versions: result.versions.clone(),
-            score: result.score.clone(),
-        });
-    }
-    LeaderReply::Results {
-        total: record.listed.len() as u64,
-        next: (after + results.len()) as u64,
-        results,
-    }
-}
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -61,6 +61,8 @@
     pub(super) after: u64,
     /// Time at which the caller is answered even without a result.
     pub(super) deadline: ClockTime,
+    /// Whether there are results, but no room for them on the way to the caller.
+    pub(super) lacks_room: bool,
     pub(super) origin: CallOrigin,
 }
 
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -18,6 +18,7 @@
 mod outputs;
 mod peers;
 mod repair;
+mod results;
 mod scoring;
 mod submissions;
 mod suspects;
--- /dev/null
+++ b/crates/service/src/keeper/results.rs
@@ -0,0 +1,161 @@
+//! Replies with the results of jobs, and the readers that wait for them.
+
+use bytes::Bytes;
+
+use super::core::CallOrigin;
+use super::core::KeeperCore;
+use super::lead::ResultWaiter;
+use crate::dialect::TargetDialect;
+use crate::frames::LeaderReply;
+use crate::frames::ListedResult;
+use crate::jobs::JobRecord;
+use bergamotlane_storage::clock::now;
+
+/// Limit for the text bytes of one reply; a single larger result is still returned.
+const MAX_RESULTS_BYTES: usize = 700 * 1024;
+
+/// Limit for what waits on a link together with the results that are added, in bytes.
+const MAX_LINK_BYTES: usize = 2 * MAX_RESULTS_BYTES;
+
+/// Longest time for which a reader waits until there is room for its results, in milliseconds.
+const ROOM_WAIT_MS: u64 = 1_000;
+
+/// Largest number of readers that wait.
+const MAX_WAITERS: usize = 20_000;
+
+impl<D: TargetDialect> KeeperCore<D> {
+    /// Returns the results of a job from a position on; without any, the reply waits for the first.
+    /// It also waits while there is no room for results on the way to the reader.
+    pub(super) fn read_job(
+        &mut self,
+        job: String,
+        customer: Option<String>,
+        after: u64,
+        wait_ms: u64,
+        origin: CallOrigin,
+    ) {
+        let Some(record) = self.customer_job(&job, customer.as_deref()) else {
+            self.reply(origin, LeaderReply::Missing);
+            return;
+        };
+        let has_no_result = record.results.len() as u64 <= after && !record.is_settled();
+        let page = match has_no_result && wait_ms > 0 {
+            true => None,
+            false => results_page(record, after, self.result_room(&origin)),
+        };
+        if let Some(page) = page {
+            self.reply(origin, page);
+            return;
+        }
+        let empty = empty_page(record, after);
+        let waiters = self.lead.as_mut().map(|it| &mut it.waiters);
+        let Some(waiters) = waiters.filter(|it| it.len() < MAX_WAITERS) else {
+            self.reply(origin, empty);
+            return;
+        };
+        let limit_ms = match has_no_result {
+            true => wait_ms,
+            false => wait_ms.max(ROOM_WAIT_MS),
+        };
+        waiters.push(ResultWaiter {
+            job,
+            after,
+            deadline: now() + limit_ms,
+            lacks_room: !has_no_result,
+            origin,
+        });
+    }
+
+    /// Answers the readers that wait for results of `job`, and for `None` those whose deadline has
+    /// passed or for whose results there is room now.
+    pub(super) fn answer_waiters(&mut self, job: Option<&str>) {
+        let time = now();
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let is_due = |it: &mut ResultWaiter| match job {
+            Some(job) => job == it.job,
+            None => it.lacks_room || time >= it.deadline,
+        };
+        let waiters: Vec<ResultWaiter> = lead.waiters.extract_if(.., is_due).collect();
+        for waiter in waiters {
+            self.answer_waiter(waiter);
+        }
+    }
+
+    /// Answers a reader, or lets it wait on if there is no room for its results.
+    fn answer_waiter(&mut self, mut waiter: ResultWaiter) {
+        if !self.is_confirmed_leader() {
+            self.reply(waiter.origin, LeaderReply::NotLeader);
+            return;
+        }
+        let Some(record) = self.state.jobs.get(&waiter.job) else {
+            self.reply(waiter.origin, LeaderReply::Missing);
+            return;
+        };
+        let room_bytes = self.result_room(&waiter.origin);
+        let page = results_page(record, waiter.after, room_bytes);
+        let is_over = now() >= waiter.deadline;
+        let page = page.or_else(|| is_over.then(|| empty_page(record, waiter.after)));
+        match (page, &mut self.lead) {
+            (Some(page), _) => self.reply(waiter.origin, page),
+            (None, Some(lead)) => {
+                waiter.lacks_room = true;
+                lead.waiters.push(waiter);
+            }
+            (None, None) => {}
+        }
+    }
+
+    /// Returns how much text a reader may be sent now, in bytes.
+    fn result_room(&self, origin: &CallOrigin) -> usize {
+        let CallOrigin::Link(link, _) = origin else {
+            return MAX_RESULTS_BYTES;
+        };
+        let (_, all_bytes) = self.hub.load();
+        let share = self.budget.replies_bytes as usize;
+        let link_bytes = self.hub.queued_bytes(*link);
+        let room_bytes = MAX_LINK_BYTES.saturating_sub(link_bytes);
+        let room_bytes = room_bytes.min(share.saturating_sub(all_bytes));
+        room_bytes.min(MAX_RESULTS_BYTES)
+    }
+}
+
+/// Returns a reply without results.
+fn empty_page(record: &JobRecord, after: u64) -> LeaderReply {
+    LeaderReply::Results {
+        total: record.listed.len() as u64,
+        next: after.min(record.results.len() as u64),
+        results: Vec::new(),
+    }
+}
+
+/// Returns the results from position `after` on, up to `room_bytes` of text, or `None` if there are
+/// results but no room for the first. With all the room that a reply may take, there is always some.
+fn results_page(record: &JobRecord, after: u64, room_bytes: usize) -> Option<LeaderReply> {
+    let after = (after as usize).min(record.results.len());
+    let mut bytes = 0;
+    let mut results = Vec::new();
+    for result in &record.results[after..] {
+        bytes += result.text.len();
+        let is_first = results.is_empty();
+        if bytes > room_bytes && !(is_first && room_bytes >= MAX_RESULTS_BYTES) {
+            break;
+        }
+        results.push(ListedResult {
+            id: record.submission.items[result.item as usize].id.clone(),
+            end: result.end,
+            text: Bytes::clone(&result.text),
+            versions: result.versions.clone(),
+            score: result.score.clone(),
+        });
+    }
+    if results.is_empty() && after < record.results.len() {
+        return None;
+    }
+    Some(LeaderReply::Results {
+        total: record.listed.len() as u64,
+        next: (after + results.len()) as u64,
+        results,
+    })
+}
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -4,6 +4,7 @@
 mod common;
 mod forward;
 mod group;
+mod readers;
 mod relay;
 mod run;
 mod stored;
--- /dev/null
+++ b/crates/service/tests/targets/readers.rs
@@ -0,0 +1,176 @@
+//! Tests a keeper whose callers read large results slowly.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use tempfile::TempDir;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
+use tokio::time::interval;
+use tokio::time::timeout;
+use tokio_tungstenite::WebSocketStream;
+use tokio_tungstenite::client_async;
+use tokio_tungstenite::tungstenite::Message;
+
+use crate::stored::call;
+use crate::stored::read;
+use crate::stored::start_single;
+use crate::stored::submit;
+use bergamotlane_service::budget::ResourceBudget;
+use bergamotlane_service::budget::ResourceLimits;
+use bergamotlane_service::frames::HelloFrame;
+use bergamotlane_service::frames::LeadHint;
+use bergamotlane_service::frames::LeaderCall;
+use bergamotlane_service::frames::LeaderReply;
+use bergamotlane_service::frames::LinkFrame;
+use bergamotlane_service::jobs::ItemEnd;
+use bergamotlane_service::jobs::ItemResult;
+use bergamotlane_service::state::StateCommand;
+use bergamotlane_wire::codec;
+
+/// Size of the text that each reader asks for, in bytes.
+const TEXT_BYTES: usize = 600_000;
+
+/// Number of readers, each with a link of its own.
+const READERS: u64 = 12;
+
+/// Number of calls that each reader makes before it reads.
+const CALLS: u64 = 8;
+
+/// Time limit for all readers.
+const TIMEOUT: Duration = Duration::from_secs(40);
+
+/// Interval at which a reader sends heartbeats.
+const PING_INTERVAL: Duration = Duration::from_millis(200);
+
+type Socket = WebSocketStream<TcpStream>;
+
+async fn send(socket: &mut Socket, frame: &LinkFrame) {
+    // The first byte marks the last part of a frame.
+    let mut message = vec![0];
+    message.extend_from_slice(&codec::encode(frame));
+    socket.send(Message::Binary(message.into())).await.unwrap();
+}
+
+async fn dial(address: SocketAddr, run: u64) -> Socket {
+    let stream = TcpStream::connect(address).await.unwrap();
+    let (mut socket, _) = client_async(format!("ws://{address}/"), stream)
+        .await
+        .unwrap();
+    let hello = HelloFrame {
+        run,
+        cluster: None,
+        node: None,
+        name: format!("reader-{run}"),
+        zone: "a".to_owned(),
+        address: None,
+        control: None,
+        relay: None,
+        founds: false,
+        keepers: BTreeSet::new(),
+    };
+    send(&mut socket, &LinkFrame::Hello(hello)).await;
+    socket
+}
+
+/// Returns the next frame from a keeper, and sends heartbeats meanwhile.
+async fn next_frame(socket: &mut Socket) -> LinkFrame {
+    let mut ping = interval(PING_INTERVAL);
+    let mut parts = Vec::new();
+    loop {
+        let message = tokio::select! {
+            message = socket.next() => message.unwrap().unwrap(),
+            _ = ping.tick() => {
+                send(socket, &LinkFrame::Ping(LeadHint::default())).await;
+                continue;
+            }
+        };
+        if let Message::Binary(bytes) = message {
+            parts.extend_from_slice(&bytes[1..]);
+            if bytes[0] == 0 {
+                return codec::decode(&parts).unwrap();
+            }
+        }
+    }
+}
+
+/// Makes all calls before it reads, and repeats those that were answered without the text.
+async fn read_all(mut socket: Socket) {
+    for id in 0..CALLS {
+        let call = read("job");
+        send(&mut socket, &LinkFrame::Call { id, call }).await;
+    }
+    let mut texts = 0;
+    while texts < CALLS {
+        let LinkFrame::Reply { id, reply } = next_frame(&mut socket).await else {
+            continue;
+        };
+        let LeaderReply::Results { next, results, .. } = reply else {
+            panic!("{reply:?}");
+        };
+        match results.first() {
+            Some(result) => {
+                assert_eq!((result.text.len(), next), (TEXT_BYTES, 1));
+                texts += 1;
+            }
+            None => {
+                let call = read("job");
+                send(&mut socket, &LinkFrame::Call { id, call }).await;
+            }
+        }
+    }
+}
+
+/// Guards against results that pile up in a leader's memory, and against links that end because of
+/// them.
+#[tokio::test]
+async fn results_wait_until_their_readers_have_read() {
+    let limits = ResourceLimits {
+        memory_bytes: Some(64_000_000),
+        disk_bytes: None,
+    };
+    let data = TempDir::new().unwrap();
+    let (handle, hub) = start_single(&data, limits);
+    assert_eq!(call(&handle, submit("job", 1)).await, LeaderReply::Done);
+    let result = ItemResult {
+        item: 0,
+        end: ItemEnd::Completed,
+        text: Bytes::from(vec![b'x'; TEXT_BYTES]),
+        versions: vec![1],
+        score: None,
+    };
+    let list = StateCommand::List(vec![("job".to_owned(), result)]);
+    let reply = call(&handle, LeaderCall::Change(list)).await;
+    assert_eq!(reply, LeaderReply::Done);
+
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(Arc::clone(&hub).listen(listener));
+    let mut readers = Vec::new();
+    for run in 0..READERS {
+        let socket = dial(address, 100 + run).await;
+        readers.push(tokio::spawn(read_all(socket)));
+    }
+    let share = ResourceBudget::for_keeper(limits).unwrap().replies_bytes as usize;
+    let mut most = 0;
+    let watch = async {
+        while !readers.iter().all(JoinHandle::is_finished) {
+            most = most.max(hub.load().1);
+            tokio::task::yield_now().await;
+        }
+    };
+    timeout(TIMEOUT, watch).await.unwrap();
+    for reader in readers {
+        reader.await.unwrap();
+    }
+    assert!(
+        most > 0 && most <= share + 2 * TEXT_BYTES,
+        "{most} of {share}"
+    );
+}
--- a/crates/service/tests/targets/stored.rs
+++ b/crates/service/tests/targets/stored.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use tempfile::TempDir;
@@ -15,6 +16,7 @@
 use bergamotlane_service::keeper::KeeperHandle;
 use bergamotlane_service::keeper::KeeperSettings;
 use bergamotlane_service::keeper::start_keeper;
+use bergamotlane_service::link::LinkHub;
 use bergamotlane_service::plan::RoutingPlan;
 use bergamotlane_service::state::StateCommand;
 use bergamotlane_storage::clock::now;
@@ -28,8 +30,8 @@
 /// Number of jobs that certainly don't fit.
 const JOB_COUNT: usize = 80;
 
-/// Starts the only keeper of a group.
-fn start_single(data: &TempDir, limits: ResourceLimits) -> KeeperHandle {
+/// Starts the only keeper of a group, which accepts no links unless the hub listens.
+pub fn start_single(data: &TempDir, limits: ResourceLimits) -> (KeeperHandle, Arc<LinkHub>) {
     let link: SocketAddr = "127.0.0.1:1".parse().unwrap();
     let settings = KeeperSettings {
         name: "keeper".to_owned(),
@@ -47,10 +49,10 @@
         platform: None,
         limits,
     };
-    start_keeper(settings, TestDialect).unwrap().0
+    start_keeper(settings, TestDialect).unwrap()
 }
 
-fn submit(id: &str, body_bytes: usize) -> LeaderCall {
+pub fn submit(id: &str, body_bytes: usize) -> LeaderCall {
     let item = ItemSpec {
         id: format!("{id}-0"),
         path: "/p".to_owned(),
@@ -74,7 +76,7 @@
     LeaderCall::Change(StateCommand::Submit(Box::new(submission)))
 }
 
-fn read(id: &str) -> LeaderCall {
+pub fn read(id: &str) -> LeaderCall {
     LeaderCall::ReadJob {
         job: id.to_owned(),
         customer: None,
@@ -83,7 +85,7 @@
     }
 }
 
-async fn call(handle: &KeeperHandle, call: LeaderCall) -> LeaderReply {
+pub async fn call(handle: &KeeperHandle, call: LeaderCall) -> LeaderReply {
     let limit = now() + CALL_LIMIT_MS;
     handle.leader.call(call, limit).await.unwrap()
 }
@@ -97,7 +99,7 @@
         memory_bytes: None,
         disk_bytes: Some(64_000_000),
     };
-    let handle = start_single(&data, limits);
+    let (handle, _hub) = start_single(&data, limits);
     let mut accepted = Vec::new();
     let mut refused = Vec::new();
     for index in 0..JOB_COUNT {
@@ -162,7 +164,7 @@
         memory_bytes: Some(64_000_000),
         disk_bytes: None,
     };
-    let handle = start_single(&data, limits);
+    let (handle, _hub) = start_single(&data, limits);
     let reply = call(&handle, submit("large", 30_000_000)).await;
     assert_eq!(reply, LeaderReply::Conflict);
     assert_eq!(
