Bound the calls that wait for the owner of the links, and connections' buffers

Cause: each try of a call went into an unbounded channel, also those whose callers had gone; while a control thread hung, tries piled up with copies of their submissions. Change: 1,024 calls to the leader and relayed requests wait at most; a call beyond is tried again later and counts as not sent. Calls whose callers have gone are not sent or carried out. Conclusion: what is left unbounded is filled by this process's own tasks alone: events of runs, calls and orders (one for each running task) and changes of the settings.

--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -68,9 +68,9 @@
     shared: Arc<EntryShared<D>>,
     hub: Arc<LinkHub>,
     events: mpsc::UnboundedReceiver<LinkEvent>,
-    requests: mpsc::UnboundedReceiver<CallRequest>,
+    requests: mpsc::Receiver<CallRequest>,
     seeds: mpsc::UnboundedReceiver<BTreeSet<SocketAddr>>,
-    relay_calls: mpsc::UnboundedReceiver<RelayCall>,
+    relay_calls: mpsc::Receiver<RelayCall>,
     relays: RelayLinks,
     links: BTreeMap<LinkId, HelloFrame>,
     /// Term and link of the current leader.
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -278,7 +278,7 @@
     pub(super) async fn run(
         mut self,
         mut links: mpsc::UnboundedReceiver<LinkEvent>,
-        mut requests: mpsc::UnboundedReceiver<CallRequest>,
+        mut requests: mpsc::Receiver<CallRequest>,
         mut inputs: mpsc::UnboundedReceiver<KeeperEvent>,
     ) {
         let mut tick_due = now();
--- a/crates/service/src/keeper/dispatch.rs
+++ b/crates/service/src/keeper/dispatch.rs
@@ -90,8 +90,11 @@
         self.process_outputs();
     }
 
-    /// Handles a call from this process, or forwards it to the known leader.
+    /// Handles a call from this process, or forwards it to the known leader, if its caller still waits.
     pub(super) fn on_request(&mut self, request: CallRequest) {
+        if request.reply.is_closed() {
+            return;
+        }
         if self.is_confirmed_leader() {
             self.handle_call(request.call, CallOrigin::Local(request.reply));
             return;
--- a/crates/service/src/leader_client.rs
+++ b/crates/service/src/leader_client.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::sync::mpsc;
+use tokio::sync::mpsc::error::TrySendError;
 use tokio::sync::oneshot;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -14,6 +15,7 @@
 use crate::frames::LinkFrame;
 use crate::link::LinkHub;
 use crate::link::LinkId;
+use crate::metrics::METRICS;
 use crate::state::StateCommand;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
@@ -25,6 +27,9 @@
 /// itself may wait at the leader.
 const ANSWER_LIMIT_MS: u64 = 1_200;
 
+/// Largest number of calls that wait for the owner of the links.
+const MAX_QUEUED_CALLS: usize = 1_024;
+
 /// Outcome of one try of a call.
 #[derive(Debug)]
 pub enum CallResult {
@@ -63,8 +68,11 @@
 
 impl PendingCalls {
     /// Sends a call over the link to the leader. If no leader is known, or its link is down, the
-    /// call ends with [`CallResult::NoLeader`].
+    /// call ends with [`CallResult::NoLeader`]. A call whose caller no longer waits is not sent.
     pub fn send(&mut self, hub: &LinkHub, link: Option<LinkId>, request: CallRequest) {
+        if request.reply.is_closed() {
+            return;
+        }
         self.next += 1;
         let id = self.next;
         let call = request.call;
@@ -106,13 +114,13 @@
 /// Cloneable handle that makes calls to the leader.
 #[derive(Debug, Clone)]
 pub struct LeaderClient {
-    requests: mpsc::UnboundedSender<CallRequest>,
+    requests: mpsc::Sender<CallRequest>,
 }
 
 impl LeaderClient {
     /// Returns a client and the queue of its calls, which the owner of the links serves.
-    pub fn new() -> (Self, mpsc::UnboundedReceiver<CallRequest>) {
-        let (requests, queue) = mpsc::unbounded_channel();
+    pub fn new() -> (Self, mpsc::Receiver<CallRequest>) {
+        let (requests, queue) = mpsc::channel(MAX_QUEUED_CALLS);
         (Self { requests }, queue)
     }
 
@@ -143,8 +151,15 @@
                 call: call.clone(),
                 reply,
             };
-            if self.requests.send(request).is_err() {
-                return Err(failure);
+            match self.requests.try_send(request) {
+                Ok(()) => {}
+                // The owner of the links is behind; the call is tried again later.
+                Err(TrySendError::Full(_)) => {
+                    METRICS.calls_delayed.inc();
+                    sleep(RETRY_PAUSE).await;
+                    continue;
+                }
+                Err(TrySendError::Closed(_)) => return Err(failure),
             }
             let wait_ms = left_ms.min(ANSWER_LIMIT_MS + call_wait_ms);
             match timeout(Duration::from_millis(wait_ms), answer).await {
--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -82,7 +82,7 @@
 const DEFAULT_LINK_BYTES: usize = 64 * 1024 * 1024;
 
 /// Largest hello frame, in bytes.
-const MAX_HELLO_BYTES: usize = 1024 * 1024;
+const MAX_HELLO_BYTES: usize = 64 * 1024;
 
 /// ID of a link, unique within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -105,6 +105,8 @@
     pub text_bytes: IntGauge,
     /// Number of partial texts that were dropped to make room for others.
     pub texts_dropped: IntCounter,
+    /// Number of calls to the leader that were put off since too many waited.
+    pub calls_delayed: IntCounter,
     lines_dropped: IntGauge,
 }
 
@@ -183,6 +185,7 @@
                 "partial_texts_dropped_total",
                 "Partial texts dropped, no room.",
             ),
+            calls_delayed: counter("leader_calls_delayed_total", "Calls put off, queue full."),
             state_bytes: gauge("state_bytes", "Size of the jobs' records."),
             jobs_refused: counters("jobs_refused_total", "Jobs refused, no space.", "share"),
             lines_dropped: gauge("log_lines_dropped", "Log lines dropped, queue full."),
--- a/crates/service/src/relay.rs
+++ b/crates/service/src/relay.rs
@@ -37,6 +37,9 @@
 /// Part of the time left that is reserved for the way back, in milliseconds.
 const RETURN_MARGIN_MS: u64 = 5;
 
+/// Largest number of requests that wait for the owner of the links.
+const MAX_QUEUED_CALLS: usize = 1_024;
+
 /// Headers as names and values.
 type HeaderPairs = Vec<(String, Bytes)>;
 
@@ -274,18 +277,18 @@
 /// Cloneable handle that sends requests through other entries.
 #[derive(Debug, Clone)]
 pub struct RelayClient {
-    calls: mpsc::UnboundedSender<RelayCall>,
+    calls: mpsc::Sender<RelayCall>,
 }
 
 impl RelayClient {
     /// Returns a client and the queue of its calls, which the owner of the links serves.
-    pub fn new() -> (Self, mpsc::UnboundedReceiver<RelayCall>) {
-        let (calls, queue) = mpsc::unbounded_channel();
+    pub fn new() -> (Self, mpsc::Receiver<RelayCall>) {
+        let (calls, queue) = mpsc::channel(MAX_QUEUED_CALLS);
         (Self { calls }, queue)
     }
 
     /// Sends a request through the first helper that takes it and may try `attempts` targets. Returns
-    /// `None` if there is no helper; then the request did not run.
+    /// `None` if there is no helper, or if too many requests wait for one; then the request did not run.
     pub async fn send(&self, request: &PlainRequest, attempts: u32) -> Option<PlainOutcome> {
         let search_end: ClockTime = (now() + HELPER_SEARCH_MS).min(request.limit);
         loop {
@@ -297,7 +300,7 @@
                 }),
                 reply,
             };
-            self.calls.send(call).ok()?;
+            self.calls.try_send(call).ok()?;
             match result.await {
                 Ok(RelayResult::Replied(reply)) => {
                     if let Some(outcome) = reply.into_outcome() {
--- a/crates/service/tests/leader_client.rs
+++ b/crates/service/tests/leader_client.rs
@@ -1,6 +1,6 @@
 //! Tests what callers learn of calls to the leader that were tried more than once.
 
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::Receiver;
 
 use bergamotlane_service::frames::LeaderCall;
 use bergamotlane_service::frames::LeaderReply;
@@ -29,7 +29,7 @@
 }
 
 /// Ends the tries of a call with these results, one after the other.
-async fn end_tries(queue: &mut UnboundedReceiver<CallRequest>, results: Vec<CallResult>) {
+async fn end_tries(queue: &mut Receiver<CallRequest>, results: Vec<CallResult>) {
     for result in results {
         let request = queue.recv().await.unwrap();
         request.reply.send(result).unwrap();
@@ -57,3 +57,27 @@
     let (reply, ()) = tokio::join!(call, tries);
     assert_eq!(reply, Ok(LeaderReply::NoPermit(1_000)));
 }
+
+/// Guards against calls that pile up while the owner of the links is behind.
+#[tokio::test]
+async fn calls_that_nobody_takes_are_bounded_in_number() {
+    let (client, mut queue) = LeaderClient::new();
+    let calls = (0..3_000).map(|_| {
+        let client = client.clone();
+        tokio::spawn(async move { client.call(LeaderCall::ReadPlan, now() + 50).await })
+    });
+    for call in calls.collect::<Vec<_>>() {
+        assert!(call.await.unwrap().is_err());
+    }
+    let mut count = 0;
+    while let Ok(request) = queue.try_recv() {
+        count += 1;
+        assert!(request.reply.is_closed());
+    }
+    assert!((1..=1_024).contains(&count), "{count}");
+    // There is room again, and whoever was put off is told that nothing was sent.
+    let tries = end_tries(&mut queue, vec![CallResult::Answered(LeaderReply::Done)]);
+    let call = client.call(LeaderCall::ReadPlan, now() + CALL_LIMIT_MS);
+    let (reply, ()) = tokio::join!(call, tries);
+    assert_eq!(reply, Ok(LeaderReply::Done));
+}
--- a/crates/service/tests/streams.rs
+++ b/crates/service/tests/streams.rs
@@ -3,7 +3,7 @@
 
 use bytes::Bytes;
 use rstest::rstest;
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::Receiver;
 
 use bergamotlane_service::frames::LeaderCall;
 use bergamotlane_service::frames::LeaderReply;
@@ -45,7 +45,7 @@
 }
 
 /// Answers each call to the leader with `reply`, or says that there is none.
-fn answer_calls(mut calls: UnboundedReceiver<CallRequest>, reply: Option<LeaderReply>) {
+fn answer_calls(mut calls: Receiver<CallRequest>, reply: Option<LeaderReply>) {
     tokio::spawn(async move {
         while let Some(request) = calls.recv().await {
             assert!(matches!(
