Refuse calls that a leader would skip, and let one frame above the share wait

Cause: a submission longer than a keeper's share for received frames was skipped, and its caller waited until its deadline. One frame above the share may wait, on the oldest link that has such a frame, so that a second one does not make the first begin anew; a larger frame may wait behind 512 KiB of others. A received frame counts 2 KiB more than its bytes, which bounds how many entries' frames are handled before a keeper's. Conclusion: large frames are refused early or arrive, never neither.

--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -116,6 +116,7 @@
         address: None,
         control: None,
         relay: settings.relay,
+        max_frame_bytes: None,
         founds: false,
         keepers: BTreeSet::new(),
     };
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -45,6 +45,9 @@
     /// Address at which an entry accepts requests of other entries.
     #[serde(default)]
     pub relay: Option<SocketAddr>,
+    /// Longest frame that the process receives from an entry, in bytes.
+    #[serde(default)]
+    pub max_frame_bytes: Option<u64>,
     /// Link addresses of the keepers to link to first.
     pub keepers: BTreeSet<SocketAddr>,
 }
--- a/crates/service/src/inbox.rs
+++ b/crates/service/src/inbox.rs
@@ -11,8 +11,9 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::sync::Semaphore;
 
-/// Memory that a frame takes in addition to its bytes until it is handled, in bytes.
-const FRAME_OVERHEAD_BYTES: usize = 512;
+/// Memory that a frame takes in addition to its bytes until it is handled, in bytes. It also bounds the
+/// number of frames that are handled before the next one of a keeper.
+const FRAME_OVERHEAD_BYTES: usize = 2 * 1024;
 
 /// Permits for the bytes of a frame, returned when it is dropped.
 #[derive(Debug)]
@@ -141,6 +142,11 @@
         }
     }
 
+    /// Returns the size of the longest frame that others than keepers may send, in bytes.
+    pub(crate) fn max_frame_bytes(&self) -> usize {
+        self.others.limit_bytes.saturating_sub(FRAME_OVERHEAD_BYTES)
+    }
+
     /// Returns the pool of a peer.
     pub(crate) fn pool(&self, is_keeper: bool) -> &FramePool {
         match is_keeper {
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -210,6 +210,7 @@
         address: Some(settings.link),
         control: Some(settings.control),
         relay: None,
+        max_frame_bytes: None,
         founds: settings.may_bootstrap && settings.seeds.contains(&settings.link),
         keepers: settings.seeds.clone(),
     };
--- a/crates/service/src/leader_client.rs
+++ b/crates/service/src/leader_client.rs
@@ -19,6 +19,7 @@
 use crate::state::StateCommand;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
+use bergamotlane_wire::codec;
 
 /// Pause before a call is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(30);
@@ -68,7 +69,8 @@
 
 impl PendingCalls {
     /// Sends a call over the link to the leader. If no leader is known, or its link is down, the
-    /// call ends with [`CallResult::NoLeader`]. A call whose caller no longer waits is not sent.
+    /// call ends with [`CallResult::NoLeader`]. A call whose caller no longer waits is not sent,
+    /// and one that is longer than the leader receives is refused.
     pub fn send(&mut self, hub: &LinkHub, link: Option<LinkId>, request: CallRequest) {
         if request.reply.is_closed() {
             return;
@@ -76,8 +78,12 @@
         self.next += 1;
         let id = self.next;
         let call = request.call;
-        let sent = link.filter(|it| hub.send(*it, &LinkFrame::Call { id, call }));
-        match sent {
+        let frame = codec::encode(&LinkFrame::Call { id, call });
+        if link.is_some_and(|it| !hub.takes(it, frame.len())) {
+            send_result(request.reply, CallResult::Answered(LeaderReply::Conflict));
+            return;
+        }
+        match link.filter(|it| hub.send_encoded(*it, frame)) {
             Some(link) => {
                 self.waiting.insert(id, (link, request.reply));
             }
--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -44,7 +44,7 @@
 use crate::outbox::QueueFailure;
 use crate::outbox::frame_queue;
 use crate::parts::PART_BYTES;
-use crate::parts::ReceivedFrame;
+use crate::parts::SkippedFrame;
 use crate::parts::feed_frame;
 use crate::parts::next_frame;
 use bergamotlane_wire::codec;
@@ -166,11 +166,19 @@
 
 type Socket = WebSocketStream<TcpStream>;
 
+/// Other end of a link.
+#[derive(Debug)]
+struct LinkPeer {
+    sender: FrameSender,
+    /// Longest frame that the peer receives, in bytes, if it names one.
+    max_frame_bytes: Option<u64>,
+}
+
 #[derive(Debug)]
 struct HubState {
     hello: HelloFrame,
     hint: LeadHint,
-    links: HashMap<LinkId, FrameSender>,
+    links: HashMap<LinkId, LinkPeer>,
     /// Addresses for which a dialling task runs.
     dialled: HashSet<SocketAddr>,
     /// Addresses to which links are maintained.
@@ -199,9 +207,14 @@
         events: mpsc::UnboundedSender<LinkEvent>,
         budget: LinkBudget,
     ) -> Arc<Self> {
+        let inbox = InboxBudget::new(budget.inbound_bytes);
+        let hello = HelloFrame {
+            max_frame_bytes: Some(inbox.max_frame_bytes() as u64),
+            ..hello
+        };
         Arc::new(Self {
             outbox: Arc::new(OutboxBudget::new(budget.outbound_bytes)),
-            inbox: InboxBudget::new(budget.inbound_bytes),
+            inbox,
             state: Mutex::new(HubState {
                 hello,
                 hint: LeadHint::default(),
@@ -240,17 +253,17 @@
     /// peers together, the links for which most of it waits end at once.
     pub fn send_encoded(&self, link: LinkId, frame: Bytes) -> bool {
         let mut state = self.state();
-        let Some(sender) = state.links.get(&link) else {
+        let Some(peer) = state.links.get(&link) else {
             return false;
         };
-        match sender.send(frame) {
+        match peer.sender.send(frame) {
             Ok(()) => {
                 self.shed(&mut state);
                 true
             }
             Err(QueueFailure::Closed) => false,
             Err(QueueFailure::Full) => {
-                spdlog::warn!("link: peer does not read, link ends", kv: { link = link.0, queued_bytes = sender.held_bytes() });
+                spdlog::warn!("link: peer does not read, link ends", kv: { link = link.0, queued_bytes = peer.sender.held_bytes() });
                 state.links.remove(&link);
                 false
             }
@@ -258,19 +271,32 @@
     }
 
     /// Ends the links for which most waits until no more waits than is allowed.
+    ///
+    /// One frame above that may wait, on the oldest link that has such a frame: a snapshot that is
+    /// larger than the share must arrive some time.
     fn shed(&self, state: &mut HubState) {
-        while self.outbox.is_exceeded() {
-            let sizes = state
-                .links
-                .iter()
-                .map(|(link, it)| (it.held_bytes(), *link));
-            let Some((held_bytes, link)) = sizes.max().filter(|(bytes, _)| *bytes > 0) else {
+        let limit_bytes = self.outbox.limit_bytes();
+        while self.outbox.held_bytes() > limit_bytes {
+            let links = state.links.iter();
+            let sizes = links.map(|(link, peer)| (*link, peer.sender.largest_bytes()));
+            let large = sizes.filter(|(_, bytes)| *bytes > limit_bytes / 2);
+            let spared = large.min_by_key(|(link, _)| *link);
+            let spared_bytes = spared.map_or(0, |(_, bytes)| bytes);
+            if self.outbox.held_bytes() <= limit_bytes + spared_bytes {
+                return;
+            }
+            let links = state.links.iter();
+            let sizes = links.map(|(link, peer)| {
+                let is_spared = spared.is_some_and(|(it, _)| it == *link);
+                (!is_spared, peer.sender.held_bytes(), *link)
+            });
+            let Some((_, held_bytes, link)) = sizes.filter(|it| it.1 > 0).max() else {
                 return;
             };
             spdlog::warn!("link: too much waits for all links, the fullest ends", kv: { link = link.0, queued_bytes = held_bytes, all_bytes = self.outbox.held_bytes() });
             METRICS.links_cut.inc();
-            if let Some(sender) = state.links.remove(&link) {
-                sender.cut();
+            if let Some(peer) = state.links.remove(&link) {
+                peer.sender.cut();
             }
         }
     }
@@ -288,7 +314,17 @@
     /// Returns the size of the frames that wait on a link, in bytes.
     pub fn queued_bytes(&self, link: LinkId) -> usize {
         let state = self.state();
-        state.links.get(&link).map_or(0, FrameSender::held_bytes)
+        let peer = state.links.get(&link);
+        peer.map_or(0, |it| it.sender.held_bytes())
+    }
+
+    /// Returns whether the peer of a link receives a frame of this size, in bytes. Keepers receive
+    /// longer frames from one another.
+    pub fn takes(&self, link: LinkId, frame_bytes: usize) -> bool {
+        let state = self.state();
+        let limit = state.links.get(&link).and_then(|it| it.max_frame_bytes);
+        let limit = limit.filter(|_| state.hello.node.is_none());
+        limit.is_none_or(|it| frame_bytes as u64 <= it)
     }
 
     /// Returns the size of the frames that were received and not handled yet, in bytes.
@@ -384,8 +420,8 @@
         socket.flush().await?;
         let pool = FramePool::new(MAX_HELLO_BYTES, false);
         let peer_hello = match next_frame(&mut socket, &pool, SILENCE_LIMIT).await? {
-            ReceivedFrame::Whole(LinkFrame::Hello(hello), _) => hello,
-            ReceivedFrame::Unknown(error) => return Err(error.into()),
+            Ok((LinkFrame::Hello(hello), _)) => hello,
+            Err(SkippedFrame::Unknown(error)) => return Err(error.into()),
             _ => return Err(LinkError::Unexpected),
         };
         if peer_hello.run == own_hello.run {
@@ -403,7 +439,12 @@
             let mut state = self.state();
             state.next_link += 1;
             let link = LinkId(state.next_link);
-            state.links.insert(link, sender);
+            let max_frame_bytes = hello.max_frame_bytes;
+            let peer = LinkPeer {
+                sender,
+                max_frame_bytes,
+            };
+            state.links.insert(link, peer);
             link
         };
         let peer = hello.name.clone();
@@ -474,18 +515,17 @@
         let mut has_skipped = false;
         loop {
             let skipped = match next_frame(&mut source, pool, SILENCE_LIMIT).await {
-                Ok(ReceivedFrame::Whole(frame, receipt)) => {
+                Ok(Ok((frame, receipt))) => {
                     self.report(LinkEvent::Frame(link, frame, receipt));
                     continue;
                 }
-                Ok(ReceivedFrame::Unknown(error)) => error.to_string(),
-                Ok(ReceivedFrame::TooLong(bytes)) => format!("too long: {bytes} bytes"),
+                Ok(Err(skipped)) => skipped,
                 Err(error) => return error,
             };
             METRICS.frames_skipped.inc();
             // One line is enough: a build that sends unknown frames sends many of them.
             if !std::mem::replace(&mut has_skipped, true) {
-                spdlog::warn!("link: frames skipped", kv: { link = link.0, first = skipped });
+                spdlog::warn!("link: frames skipped", kv: { link = link.0, first = skipped.to_string() });
             }
         }
     }
--- a/crates/service/src/outbox.rs
+++ b/crates/service/src/outbox.rs
@@ -12,9 +12,13 @@
 use bytes::Bytes;
 use tokio::sync::Notify;
 
-/// Largest size of the frames that wait on a link, in bytes. A single larger frame may wait alone.
+/// Largest size of the frames that wait on a link, in bytes. A single larger frame may wait behind
+/// small ones.
 const MAX_QUEUED_BYTES: usize = 4 * 1024 * 1024;
 
+/// Largest size of the frames behind which a larger frame may wait, in bytes.
+const MAX_AHEAD_BYTES: usize = 512 * 1024;
+
 /// Account of the frames that wait on all links of a process. A frame that waits on several links
 /// counts once, since they share its memory.
 #[derive(Debug)]
@@ -53,9 +57,9 @@
         self.held_bytes.load(Ordering::Relaxed)
     }
 
-    /// Returns whether more waits than may be held.
-    pub(crate) fn is_exceeded(&self) -> bool {
-        self.held_bytes() > self.limit_bytes
+    /// Returns the size that may be held, in bytes.
+    pub(crate) fn limit_bytes(&self) -> usize {
+        self.limit_bytes
     }
 
     /// Returns the charge of a frame, which is that of the last frame if both share their memory: as
@@ -169,7 +173,8 @@
         if state.is_closed {
             return Err(QueueFailure::Closed);
         }
-        if state.waiting_bytes > 0 && state.waiting_bytes + length > MAX_QUEUED_BYTES {
+        let is_full = state.waiting_bytes + length > MAX_QUEUED_BYTES;
+        if is_full && state.waiting_bytes > MAX_AHEAD_BYTES {
             return Err(QueueFailure::Full);
         }
         let charge = self.budget.charge(&frame);
@@ -189,6 +194,14 @@
         state.waiting_bytes + state.sending.as_ref().map_or(0, |it| it.bytes)
     }
 
+    /// Returns the size of the largest frame that waits or is being sent, in bytes.
+    pub(crate) fn largest_bytes(&self) -> usize {
+        let state = self.shared.state();
+        let waiting = state.frames.iter().map(|it| it.bytes.len());
+        let sending = state.sending.iter().map(|it| it.bytes);
+        waiting.chain(sending).max().unwrap_or(0)
+    }
+
     /// Drops all frames and ends the link at once.
     pub(crate) fn cut(self) {
         self.shared.close(true);
--- a/crates/service/src/parts.rs
+++ b/crates/service/src/parts.rs
@@ -11,6 +11,7 @@
 use futures_util::SinkExt;
 use futures_util::Stream;
 use futures_util::StreamExt;
+use thiserror::Error;
 use tokio::time::timeout;
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::Message;
@@ -59,17 +60,20 @@
     Ok(())
 }
 
-/// What was received on a link.
-#[derive(Debug)]
-pub(crate) enum ReceivedFrame {
-    /// A frame, with the permits for its bytes.
-    Whole(LinkFrame, FrameReceipt),
-    /// A frame that this build does not know.
+/// Frame that was received and is skipped.
+#[derive(Debug, Error)]
+pub(crate) enum SkippedFrame {
+    /// This build does not know the frame.
+    #[error("unknown: {0}")]
     Unknown(WireError),
-    /// A frame that is longer than its peer may send, with its length in bytes.
+    /// The frame is longer than its peer may send.
+    #[error("too long: {0} bytes")]
     TooLong(usize),
 }
 
+/// Frame with the permits for its bytes, or the reason why it is skipped.
+type ReceivedFrame = Result<(LinkFrame, FrameReceipt), SkippedFrame>;
+
 /// Parts of a frame, read one after the other.
 #[derive(Debug, Default)]
 struct FrameParts {
@@ -150,11 +154,9 @@
             continue;
         }
         if !is_kept {
-            return Ok(ReceivedFrame::TooLong(length));
+            return Ok(Err(SkippedFrame::TooLong(length)));
         }
-        return Ok(match codec::decode_from(frame) {
-            Ok(frame) => ReceivedFrame::Whole(frame, intake.finish()),
-            Err(error) => ReceivedFrame::Unknown(error),
-        });
+        let frame = codec::decode_from(frame).map_err(SkippedFrame::Unknown);
+        return Ok(frame.map(|it| (it, intake.finish())));
     }
 }
--- a/crates/service/src/relay_links/tests.rs
+++ b/crates/service/src/relay_links/tests.rs
@@ -33,6 +33,7 @@
         address: None,
         control: None,
         relay: None,
+        max_frame_bytes: None,
         founds: false,
         keepers: BTreeSet::new(),
     };
--- a/crates/service/tests/link.rs
+++ b/crates/service/tests/link.rs
@@ -10,14 +10,19 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
 use tokio::time::timeout;
 use tokio_tungstenite::WebSocketStream;
 use tokio_tungstenite::client_async;
 use tokio_tungstenite::tungstenite::Message;
 
 use bergamotlane_service::frames::HelloFrame;
+use bergamotlane_service::frames::LeaderCall;
 use bergamotlane_service::frames::LeaderReply;
 use bergamotlane_service::frames::LinkFrame;
+use bergamotlane_service::leader_client::CallRequest;
+use bergamotlane_service::leader_client::CallResult;
+use bergamotlane_service::leader_client::PendingCalls;
 use bergamotlane_service::link::LinkBudget;
 use bergamotlane_service::link::LinkEvent;
 use bergamotlane_service::link::LinkHub;
@@ -49,6 +54,7 @@
         address: None,
         control: None,
         relay: None,
+        max_frame_bytes: None,
         founds: false,
         keepers: BTreeSet::new(),
     }
@@ -278,3 +284,55 @@
     let event = next_event(&mut peers).await;
     assert!(matches!(event, LinkEvent::Frame(..)), "{event:?}");
 }
+
+/// Guards against a peer that never gets a snapshot since it is larger than the share of all links.
+#[tokio::test]
+async fn one_frame_above_the_share_may_wait() {
+    let budget = LinkBudget {
+        outbound_bytes: FRAME_BYTES,
+        ..LinkBudget::default()
+    };
+    let peers = silent_peers(3, budget).await;
+    let large = || Bytes::from(vec![7; 40 * FRAME_BYTES]);
+    let small = Bytes::from_static(b"x");
+    assert!(peers.hub.send_encoded(peers.links[0], large()));
+    tokio::task::yield_now().await;
+    assert!(peers.hub.send_encoded(peers.links[0], small.clone()));
+    assert_eq!(peers.hub.load().0, 3);
+    // Another one does not make the first begin anew.
+    peers.hub.send_encoded(peers.links[1], large());
+    assert_eq!(peers.hub.load().0, 2);
+    assert!(peers.hub.send_encoded(peers.links[0], small.clone()));
+    assert!(!peers.hub.send_encoded(peers.links[1], small));
+}
+
+/// Guards against a submission that a leader skips since it is too long, and whose caller waits in
+/// vain.
+#[tokio::test]
+async fn a_call_that_the_leader_would_skip_is_refused() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (sender, _leader_events) = mpsc::unbounded_channel();
+    let budget = LinkBudget {
+        inbound_bytes: FRAME_BYTES,
+        ..LinkBudget::default()
+    };
+    let leader = LinkHub::with_budget(hello(1), sender, budget);
+    tokio::spawn(leader.listen(listener));
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let hub = LinkHub::new(hello(2), sender);
+    hub.set_peers([address]);
+    let event = timeout(EVENT_LIMIT, events.recv()).await.unwrap();
+    let Some(LinkEvent::Up { link, .. }) = event else {
+        panic!("expected a link, got {event:?}");
+    };
+    let mut calls = PendingCalls::default();
+    let (reply, answer) = oneshot::channel();
+    let call = LeaderCall::Depart("x".repeat(FRAME_BYTES));
+    calls.send(&hub, Some(link), CallRequest { call, reply });
+    let result = timeout(EVENT_LIMIT, answer).await.unwrap().unwrap();
+    assert!(matches!(
+        result,
+        CallResult::Answered(LeaderReply::Conflict)
+    ));
+}
--- a/crates/service/tests/targets/group.rs
+++ b/crates/service/tests/targets/group.rs
@@ -117,6 +117,7 @@
         address: Some(address),
         control: None,
         relay: None,
+        max_frame_bytes: None,
         founds: false,
         keepers: BTreeSet::new(),
     }
--- a/crates/service/tests/targets/readers.rs
+++ b/crates/service/tests/targets/readers.rs
@@ -80,6 +80,7 @@
         address: None,
         control: None,
         relay: None,
+        max_frame_bytes: None,
         founds: false,
         keepers: BTreeSet::new(),
     };
