--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -371,13 +371,18 @@
         self.calls.send(&self.hub, link, request);
     }
 
-    /// Drops expired connections and calls, and sends the usage sums if they changed.
+    /// Drops expired connections and calls, updates the gauges of the links, and sends the usage sums if they changed.
     fn report(&mut self) {
         self.directory
             .set_leader_known(now(), self.leader.is_some());
         self.update_peers();
         self.shared.forwarder.prune();
         self.calls.prune();
+        let (links, queued_bytes) = self.hub.load();
+        METRICS.links.set(links as i64);
+        METRICS.queued_bytes.set(queued_bytes as i64);
+        let received_bytes = self.hub.received_bytes();
+        METRICS.received_bytes.set(received_bytes as i64);
         let sums = self.shared.forwarder.usage();
         if sums == self.sent_usage {
             return;
--- a/crates/service/tests/targets/relay.rs
+++ b/crates/service/tests/targets/relay.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::future::join_all;
 use rstest::rstest;
 use tokio::time::Instant;
@@ -20,6 +21,7 @@
 use crate::support::StubBehaviour;
 use crate::support::StubTarget;
 use crate::support::view;
+use bergamotlane_service::bodies::SMALL_BODY_BYTES;
 use bergamotlane_service::frames::LeaderCall;
 use bergamotlane_service::plain::PlainOutcome;
 use bergamotlane_service::plain::PlainRequest;
@@ -29,6 +31,9 @@
 use bergamotlane_service::streams::StreamKey;
 use bergamotlane_storage::clock::now;
 
+/// Pause before a refused request is made again.
+const RETRY_PAUSE: Duration = Duration::from_millis(20);
+
 /// Guards against callers of an entry that has lost its path to all targets, who are refused or wait in
 /// vain although other entries serve; the usage is counted once, where the request ran.
 #[rstest]
@@ -107,6 +112,34 @@
     assert_eq!(stub.count(), 0);
 }
 
+/// Guards against a helper whose memory the bodies of others fill.
+#[tokio::test]
+async fn a_helper_without_room_for_a_body_refuses_its_request() {
+    let dead = DeadAddress::new(PathFault::Refused).await;
+    let stub = StubTarget::start(StubBehaviour::Healthy).await;
+    let targets = [dead.address, stub.address].map(targets_at);
+    let group = TestGroup::start(targets.into()).await;
+    let [caller, helper] = [0, 1].map(|it| &group.entries[it].handle.shared);
+    let held = helper.bodies.reserve(helper.bodies.max_body_bytes());
+    let request = || PlainRequest {
+        body: Bytes::from(vec![7; 2 * SMALL_BODY_BYTES]),
+        ..request(RouteKind::Unsafe)
+    };
+    let outcome = caller.forwarder.forward(&request()).await.outcome;
+    assert!(matches!(outcome, PlainOutcome::NotRun), "{outcome:?}");
+    assert_eq!(stub.count(), 0);
+    // A helper that refused a request gets no other one for some time.
+    let small_is_taken = async {
+        while !is_answered(&group.forward(0, RouteKind::Unsafe).await) {
+            sleep(RETRY_PAUSE).await;
+        }
+    };
+    timeout(TIMEOUT, small_is_taken).await.unwrap();
+    drop(held);
+    let outcome = caller.forwarder.forward(&request()).await.outcome;
+    assert!(is_answered(&outcome), "{outcome:?}");
+}
+
 /// Guards against a helper that the requests of others overload.
 #[tokio::test]
 async fn a_helper_takes_a_bounded_number_of_requests() {
