Send partial texts in frames of the usual size

Cause: when a voter joined, all texts of all runs went into one frame, which could exceed the share of all links and, above 64 MiB, end the link for good. Conclusion: replication of texts needs some rounds more after a voter has joined.

--- a/crates/service/src/keeper/texts.rs
+++ b/crates/service/src/keeper/texts.rs
@@ -1,7 +1,11 @@
 //! Replication of partial texts: the leader sends them to the other voters, so that a new leader
 //! can resume their items.
 
+use bytes::Bytes;
+
 use super::core::KeeperCore;
+use super::lead::LeaderState;
+use super::lead::RunHandle;
 use crate::dialect::TargetDialect;
 use crate::frames::LinkFrame;
 use crate::jobs::ItemResult;
@@ -20,6 +24,10 @@
 /// less than to send its text.
 const MIN_REPLICATED_AGE_MS: u64 = 800;
 
+/// Size of the additions from runs in one round of replication from which on no others are added, in
+/// bytes. Even when all texts are sent anew, the frame is one of the usual size.
+const MAX_ROUND_BYTES: usize = 2 * 1024 * 1024;
+
 /// Returns an ID of a run that is unique across leaders: the term in the upper 32 bits, the run's
 /// key in the lower ones.
 pub(super) fn global_run_id(term: u64, run: RunKey) -> u64 {
@@ -111,21 +119,7 @@
         let Some(lead) = self.lead.as_mut().filter(|it| it.active) else {
             return;
         };
-        let mut deltas = Vec::new();
-        for (run, handle) in &mut lead.runs {
-            if time.since(handle.started) < MIN_REPLICATED_AGE_MS {
-                continue;
-            }
-            let run_id = global_run_id(lead.term, *run);
-            let text = handle.progress.text();
-            deltas.extend(TextDelta::since(
-                &handle.key,
-                run_id,
-                handle.replicated_events,
-                &text,
-            ));
-            handle.replicated_events = text.events.len() as u32;
-        }
+        let mut deltas = run_deltas(time, lead);
         for task in lead.scores.take_unreplicated() {
             deltas.extend(TextDelta::since(
                 &task.text_key,
@@ -157,3 +151,28 @@
         others.filter_map(|it| self.link_of(*it)).collect()
     }
 }
+
+/// Returns what the leader's runs have added to their texts, those first of which least was sent, up to
+/// about [`MAX_ROUND_BYTES`]; the rest is left for the next time.
+fn run_deltas(time: ClockTime, lead: &mut LeaderState) -> Vec<TextDelta> {
+    let is_old = |handle: &RunHandle| time.since(handle.started) >= MIN_REPLICATED_AGE_MS;
+    let runs = lead.runs.iter_mut().filter(|(_, it)| is_old(it));
+    let mut runs: Vec<(&RunKey, &mut RunHandle)> = runs.collect();
+    runs.sort_by_key(|(run, handle)| (handle.replicated_events, run.0));
+    let mut bytes = 0;
+    let mut deltas = Vec::new();
+    for (run, handle) in runs {
+        if bytes >= MAX_ROUND_BYTES {
+            break;
+        }
+        let run_id = global_run_id(lead.term, *run);
+        let text = handle.progress.text();
+        let offset = handle.replicated_events;
+        if let Some(delta) = TextDelta::since(&handle.key, run_id, offset, &text) {
+            bytes += delta.events.iter().map(Bytes::len).sum::<usize>();
+            deltas.push(delta);
+        }
+        handle.replicated_events = text.events.len() as u32;
+    }
+    deltas
+}
