Test that hello frames of both builds are understood by both

Evidence: hello_frames_of_two_builds_are_understood_by_both passes; without serde's default for max_frame_bytes, decoding an earlier build's frame would be an error of serde by construction.

--- a/crates/service/tests/decoders.rs
+++ b/crates/service/tests/decoders.rs
@@ -1,12 +1,17 @@
 //! What reaches a process over links and streams, damaged: no decoder may panic or take long.
 
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use proptest::prelude::*;
+use serde::Deserialize;
+use serde::Serialize;
 
 use bergamotlane_service::events::EventReader;
 use bergamotlane_service::events::StreamEvent;
+use bergamotlane_service::frames::HelloFrame;
 use bergamotlane_service::frames::LeaderCall;
 use bergamotlane_service::frames::LinkFrame;
 use bergamotlane_service::frames::ViewFrame;
@@ -95,3 +100,43 @@
         codec::decode::<LinkFrame>(&bytes).ok();
     }
 }
+
+/// Hello frame of the builds that name no longest frame.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct EarlierHello {
+    run: u64,
+    cluster: Option<u64>,
+    node: Option<u64>,
+    name: String,
+    zone: String,
+    address: Option<SocketAddr>,
+    control: Option<SocketAddr>,
+    founds: bool,
+    relay: Option<SocketAddr>,
+    keepers: BTreeSet<SocketAddr>,
+}
+
+/// Guards against builds that can't link to each other while instances are replaced one by one.
+#[test]
+fn hello_frames_of_two_builds_are_understood_by_both() {
+    let earlier = EarlierHello {
+        run: 7,
+        cluster: Some(1),
+        node: None,
+        name: "n".to_owned(),
+        zone: "a".to_owned(),
+        address: None,
+        control: None,
+        founds: false,
+        relay: None,
+        keepers: BTreeSet::from(["127.0.0.1:1".parse().unwrap()]),
+    };
+    let decoded: HelloFrame = codec::decode(&codec::encode(&earlier)).unwrap();
+    assert_eq!((decoded.run, decoded.max_frame_bytes), (7, None));
+    let sent = HelloFrame {
+        max_frame_bytes: Some(1_000),
+        ..decoded
+    };
+    let read: EarlierHello = codec::decode(&codec::encode(&sent)).unwrap();
+    assert_eq!(read, earlier);
+}
