--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -3,6 +3,9 @@
 //! A link without traffic for `SILENCE_LIMIT` is closed, and the side that dialled it
 //! reconnects.
 
+mod load;
+mod transfer;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -14,9 +17,6 @@
 
 use bytes::Bytes;
 use futures_util::SinkExt;
-use futures_util::StreamExt;
-use futures_util::stream::SplitSink;
-use futures_util::stream::SplitStream;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -27,7 +27,6 @@
 use tokio_tungstenite::accept_async_with_config;
 use tokio_tungstenite::client_async_with_config;
 use tokio_tungstenite::tungstenite;
-use tokio_tungstenite::tungstenite::Message;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
 use crate::budget::ResourceBudget;
@@ -37,8 +36,6 @@
 use crate::inbox::FramePool;
 use crate::inbox::FrameReceipt;
 use crate::inbox::InboxBudget;
-use crate::metrics::METRICS;
-use crate::outbox::FrameQueue;
 use crate::outbox::FrameSender;
 use crate::outbox::OutboxBudget;
 use crate::outbox::QueueFailure;
@@ -270,68 +267,11 @@
         }
     }
 
-    /// Ends the links for which most waits until no more waits than is allowed.
-    ///
-    /// One frame above that may wait, on the oldest link that has such a frame: a snapshot that is
-    /// larger than the share must arrive some time.
-    fn shed(&self, state: &mut HubState) {
-        let limit_bytes = self.outbox.limit_bytes();
-        while self.outbox.held_bytes() > limit_bytes {
-            let links = state.links.iter();
-            let sizes = links.map(|(link, peer)| (*link, peer.sender.largest_bytes()));
-            let large = sizes.filter(|(_, bytes)| *bytes > limit_bytes / 2);
-            let spared = large.min_by_key(|(link, _)| *link);
-            let spared_bytes = spared.map_or(0, |(_, bytes)| bytes);
-            if self.outbox.held_bytes() <= limit_bytes + spared_bytes {
-                return;
-            }
-            let links = state.links.iter();
-            let sizes = links.map(|(link, peer)| {
-                let is_spared = spared.is_some_and(|(it, _)| it == *link);
-                (!is_spared, peer.sender.held_bytes(), *link)
-            });
-            let Some((_, held_bytes, link)) = sizes.filter(|it| it.1 > 0).max() else {
-                return;
-            };
-            spdlog::warn!("link: too much waits for all links, the fullest ends", kv: { link = link.0, queued_bytes = held_bytes, all_bytes = self.outbox.held_bytes() });
-            METRICS.links_cut.inc();
-            if let Some(peer) = state.links.remove(&link) {
-                peer.sender.cut();
-            }
-        }
-    }
-
     /// Ends a link. Unless its address is still one of the peers, it is not made again.
     pub fn close(&self, link: LinkId) {
         self.state().links.remove(&link);
     }
 
-    /// Returns the number of links, and the size of all frames that wait on them, in bytes.
-    pub fn load(&self) -> (usize, usize) {
-        (self.state().links.len(), self.outbox.held_bytes())
-    }
-
-    /// Returns the size of the frames that wait on a link, in bytes.
-    pub fn queued_bytes(&self, link: LinkId) -> usize {
-        let state = self.state();
-        let peer = state.links.get(&link);
-        peer.map_or(0, |it| it.sender.held_bytes())
-    }
-
-    /// Returns whether the peer of a link receives a frame of this size, in bytes. Keepers receive
-    /// longer frames from one another.
-    pub fn takes(&self, link: LinkId, frame_bytes: usize) -> bool {
-        let state = self.state();
-        let limit = state.links.get(&link).and_then(|it| it.max_frame_bytes);
-        let limit = limit.filter(|_| state.hello.node.is_none());
-        limit.is_none_or(|it| frame_bytes as u64 <= it)
-    }
-
-    /// Returns the size of the frames that were received and not handled yet, in bytes.
-    pub fn received_bytes(&self) -> usize {
-        self.inbox.held_bytes()
-    }
-
     /// Maintains links to exactly these addresses, except this process's own. Existing links to
     /// other addresses stay up but are not re-established. Must be called within the runtime.
     pub fn set_peers(self: &Arc<Self>, addresses: impl IntoIterator<Item = SocketAddr>) {
@@ -465,88 +405,6 @@
         // The receiver is only dropped when the process ends.
         self.events.send(event).ok();
     }
-
-    /// Sends queued frames and reports received ones until the link fails.
-    async fn transfer(
-        &self,
-        socket: Socket,
-        link: LinkId,
-        outbound: FrameQueue,
-        pool: &FramePool,
-    ) -> LinkError {
-        let (sink, source) = socket.split();
-        let cut = outbound.cut_signal();
-        tokio::select! {
-            error = self.write(sink, outbound) => error,
-            error = self.read(source, link, pool) => error,
-            () = cut.wait() => LinkError::Cut,
-        }
-    }
-
-    /// Sends queued frames, and a heartbeat when there are none, until the link fails.
-    async fn write(
-        &self,
-        mut sink: SplitSink<Socket, Message>,
-        mut outbound: FrameQueue,
-    ) -> LinkError {
-        loop {
-            let first = match timeout(PING_INTERVAL, outbound.recv()).await {
-                Ok(Some(frame)) => frame,
-                Ok(None) => return LinkError::Closed,
-                Err(_) => {
-                    let hint = self.state().hint;
-                    codec::encode(&LinkFrame::Ping(hint))
-                }
-            };
-            if let Err(error) = write_frames(&mut sink, &mut outbound, first).await {
-                return error;
-            }
-        }
-    }
-
-    /// Reports received frames until the link fails. Frames that this build does not know, or that are
-    /// too long, are skipped.
-    async fn read(
-        &self,
-        mut source: SplitStream<Socket>,
-        link: LinkId,
-        pool: &FramePool,
-    ) -> LinkError {
-        let mut has_skipped = false;
-        loop {
-            let skipped = match next_frame(&mut source, pool, SILENCE_LIMIT).await {
-                Ok(Ok((frame, receipt))) => {
-                    self.report(LinkEvent::Frame(link, frame, receipt));
-                    continue;
-                }
-                Ok(Err(skipped)) => skipped,
-                Err(error) => return error,
-            };
-            METRICS.frames_skipped.inc();
-            // One line is enough: a build that sends unknown frames sends many of them.
-            if !std::mem::replace(&mut has_skipped, true) {
-                spdlog::warn!("link: frames skipped", kv: { link = link.0, first = skipped.to_string() });
-            }
-        }
-    }
-}
-
-/// Writes a frame and those that wait behind it, and flushes the connection.
-async fn write_frames(
-    sink: &mut SplitSink<Socket, Message>,
-    outbound: &mut FrameQueue,
-    first: Bytes,
-) -> Result<(), LinkError> {
-    feed_frame(sink, &first, SILENCE_LIMIT).await?;
-    drop(first);
-    for _ in 0..FLUSH_AFTER_FRAMES {
-        match outbound.try_recv() {
-            Some(frame) => feed_frame(sink, &frame, SILENCE_LIMIT).await?,
-            None => break,
-        }
-    }
-    let flushed = timeout(SILENCE_LIMIT, sink.flush()).await;
-    Ok(flushed.map_err(|_| LinkError::Silent)??)
 }
 
 fn socket_config() -> WebSocketConfig {
