--- a/crates/service/src/entry.rs
+++ b/crates/service/src/entry.rs
@@ -10,6 +10,9 @@
 use tokio::time::MissedTickBehavior;
 use tokio::time::interval;
 
+use crate::budget::BudgetError;
+use crate::budget::ResourceBudget;
+use crate::budget::ResourceLimits;
 use crate::dialect::TargetDialect;
 use crate::directory::KeeperDirectory;
 use crate::entry_shared::EntryShared;
@@ -22,6 +25,7 @@
 use crate::leader_client::CallRequest;
 use crate::leader_client::LeaderClient;
 use crate::leader_client::PendingCalls;
+use crate::link::LinkBudget;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::link::LinkId;
@@ -54,6 +58,8 @@
     pub relay: Option<SocketAddr>,
     /// Length of a usage window, in milliseconds.
     pub usage_window_ms: u64,
+    /// Limits on the resources of this entry.
+    pub limits: ResourceLimits,
 }
 
 /// Event loop that owns an entry's links to the keepers.
@@ -62,9 +68,9 @@
     shared: Arc<EntryShared<D>>,
     hub: Arc<LinkHub>,
     events: mpsc::UnboundedReceiver<LinkEvent>,
-    requests: mpsc::UnboundedReceiver<CallRequest>,
+    requests: mpsc::Receiver<CallRequest>,
     seeds: mpsc::UnboundedReceiver<BTreeSet<SocketAddr>>,
-    relay_calls: mpsc::UnboundedReceiver<RelayCall>,
+    relay_calls: mpsc::Receiver<RelayCall>,
     relays: RelayLinks,
     links: BTreeMap<LinkId, HelloFrame>,
     /// Term and link of the current leader.
@@ -86,7 +92,16 @@
 }
 
 /// Spawns an entry's event loop; must be called within the runtime.
-pub fn start_entry<D: TargetDialect>(settings: EntrySettings, dialect: D) -> EntryHandle<D> {
+///
+/// # Errors
+///
+/// Returns an error if the memory limit is too low.
+pub fn start_entry<D: TargetDialect>(
+    settings: EntrySettings,
+    dialect: D,
+) -> Result<EntryHandle<D>, BudgetError> {
+    let budget = ResourceBudget::for_entry(settings.limits)?;
+    budget.log("entry", settings.limits);
     let (leader, requests) = LeaderClient::new();
     let (sender, events) = mpsc::unbounded_channel();
     let (seed_sender, seeds) = mpsc::unbounded_channel();
@@ -101,6 +116,7 @@
         address: None,
         control: None,
         relay: settings.relay,
+        max_frame_bytes: None,
         founds: false,
         keepers: BTreeSet::new(),
         state_format: 0,
@@ -112,9 +128,13 @@
         &settings.zone,
         settings.usage_window_ms,
     );
-    let shared = Arc::new(EntryShared::new(leader, forwarder.with_relay(relay)));
+    let shared = Arc::new(EntryShared::new(
+        leader,
+        forwarder.with_relay(relay),
+        &budget,
+    ));
     let directory = KeeperDirectory::new(now(), &settings.name, settings.seeds.clone());
-    let hub = LinkHub::new(hello, sender);
+    let hub = LinkHub::with_budget(hello, sender, LinkBudget::from(&budget));
     let entry = EntryLoop {
         process_run,
         shared: Arc::clone(&shared),
@@ -132,11 +152,11 @@
         sent_usage: UsageSums::default(),
     };
     tokio::spawn(entry.run());
-    EntryHandle {
+    Ok(EntryHandle {
         shared,
         seeds: seed_sender,
         hub,
-    }
+    })
 }
 
 impl<D: TargetDialect> EntryLoop<D> {
@@ -205,7 +225,7 @@
                 }
                 self.calls.fail_link(link);
             }
-            LinkEvent::Frame(link, frame) => self.on_frame(link, frame),
+            LinkEvent::Frame(link, frame, _receipt) => self.on_frame(link, frame),
         }
     }
 
@@ -352,13 +372,18 @@
         self.calls.send(&self.hub, link, request);
     }
 
-    /// Drops expired connections and calls, and sends the usage sums if they changed.
+    /// Drops expired connections and calls, updates the gauges of the links, and sends the usage sums if they changed.
     fn report(&mut self) {
         self.directory
             .set_leader_known(now(), self.leader.is_some());
         self.update_peers();
         self.shared.forwarder.prune();
         self.calls.prune();
+        let (links, queued_bytes) = self.hub.load();
+        METRICS.links.set(links as i64);
+        METRICS.queued_bytes.set(queued_bytes as i64);
+        let received_bytes = self.hub.received_bytes();
+        METRICS.received_bytes.set(received_bytes as i64);
         let sums = self.shared.forwarder.usage();
         if sums == self.sent_usage {
             return;
--- a/crates/service/src/frames.rs
+++ b/crates/service/src/frames.rs
@@ -49,6 +49,9 @@
     /// Address at which an entry accepts requests of other entries.
     #[serde(default)]
     pub relay: Option<SocketAddr>,
+    /// Longest frame that the process receives from an entry, in bytes.
+    #[serde(default)]
+    pub max_frame_bytes: Option<u64>,
     /// Link addresses of the keepers to link to first.
     pub keepers: BTreeSet<SocketAddr>,
     /// Latest format of snapshots that a keeper reads; see [`STATE_FORMAT`].
@@ -202,7 +205,8 @@
     Unclear,
     /// Nothing exists under the name in the call.
     Missing,
-    /// The change conflicts with the current state and was not made.
+    /// The change conflicts with the current state, or a job is larger than any that is accepted; it
+    /// was not made.
     Conflict,
     /// Document of the plan, as the operator sent it.
     Document(Bytes),
@@ -225,7 +229,8 @@
     Retired(bool),
     /// The request may be sent to its target after this delay, in milliseconds.
     Permit(u64),
-    /// The request must not be sent; a permit is free after this time, in milliseconds.
+    /// The request must not be sent, or the job was not accepted; a permit or space is free after this
+    /// time, in milliseconds.
     NoPermit(u64),
 }
 
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -1,19 +1,13 @@
 //! Handling of calls that entries and the control interface make to the leader.
 
-use bytes::Bytes;
-
 use super::core::CallOrigin;
 use super::core::KeeperCore;
-use super::lead::ResultWaiter;
 use crate::dialect::TargetDialect;
 use crate::frames::LeaderCall;
 use crate::frames::LeaderReply;
-use crate::frames::ListedResult;
-use crate::jobs::ItemResult;
 use crate::jobs::JobRecord;
 use crate::leaving::LeavingStart;
 use crate::metrics::METRICS;
-use crate::payload::PayloadRef;
 use crate::registry::AnnouncementEffect;
 use crate::registry::TargetAnnouncement;
 use crate::software::SoftwareBuild;
@@ -25,9 +19,6 @@
 use bergamotlane_policy::suspect::TargetStart;
 use bergamotlane_storage::clock::now;
 
-/// Limit for the text bytes of one reply; a single larger result is still returned.
-const MAX_RESULTS_BYTES: usize = 700 * 1024;
-
 impl<D: TargetDialect> KeeperCore<D> {
     /// Returns whether this keeper leads with a valid lease and has applied every entry that is
     /// known to be committed, those of earlier terms included.
@@ -136,9 +127,13 @@
                 .is_some_and(|it| it >= version),
             _ => false,
         };
-        match done {
-            true => self.reply(origin, LeaderReply::Done),
-            false => self.propose(command, origin),
+        if done {
+            self.reply(origin, LeaderReply::Done);
+            return;
+        }
+        match command {
+            StateCommand::Submit(submission) => self.submit_job(command, submission, origin),
+            _ => self.propose(command, origin),
         }
     }
 
@@ -152,7 +147,7 @@
     }
 
     /// Returns a job if it belongs to the customer.
-    fn customer_job(&self, job: &str, customer: Option<&str>) -> Option<&JobRecord> {
+    pub(super) fn customer_job(&self, job: &str, customer: Option<&str>) -> Option<&JobRecord> {
         let record = self.state.jobs.get(job)?;
         (record.submission.customer.as_deref() == customer).then_some(record)
     }
@@ -248,53 +243,6 @@
         self.confirm_leaving(id, born, true, origin);
     }
 
-    /// Returns the results of a job from a position on; without any, the reply waits for the first.
-    fn read_job(
-        &mut self,
-        job: String,
-        customer: Option<String>,
-        after: u64,
-        wait_ms: u64,
-        origin: CallOrigin,
-    ) {
-        let Some(record) = self.customer_job(&job, customer.as_deref()) else {
-            self.reply(origin, LeaderReply::Missing);
-            return;
-        };
-        let has_no_result = record.results.len() as u64 <= after && !record.is_settled();
-        if has_no_result && wait_ms > 0 {
-            let deadline = now() + wait_ms;
-            if let Some(lead) = &mut self.lead {
-                lead.waiters.push(ResultWaiter {
-                    job,
-                    after,
-                    deadline,
-                    origin,
-                });
-            }
-            return;
-        }
-        let reply = self.results_from(&job, after);
-        self.reply(origin, reply);
-    }
-
-    /// Answers the readers that wait for results of `job`, and those whose deadline has passed.
-    pub(super) fn answer_waiters(&mut self, job: Option<&str>) {
-        let time = now();
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        let is_due = |it: &mut ResultWaiter| job == Some(it.job.as_str()) || time >= it.deadline;
-        let waiters: Vec<ResultWaiter> = lead.waiters.extract_if(.., is_due).collect();
-        for waiter in waiters {
-            let reply = match self.is_confirmed_leader() {
-                true => self.results_from(&waiter.job, waiter.after),
-                false => LeaderReply::NotLeader,
-            };
-            self.reply(waiter.origin, reply);
-        }
-    }
-
     /// Returns the reply with the request body of an item that still has to run.
     fn read_item(&mut self, job: &str, customer: Option<&str>, item: &str) -> LeaderReply {
         let Some(record) = self.customer_job(job, customer) else {
@@ -312,28 +260,6 @@
         }
     }
 
-    /// Returns the results of a job from position `after` on, up to [`MAX_RESULTS_BYTES`] of text.
-    fn results_from(&mut self, job: &str, after: u64) -> LeaderReply {
-        let Some(record) = self.state.jobs.get(job) else {
-            return LeaderReply::Missing;
-        };
-        let after = (after as usize).min(record.results.len());
-        let texts: Vec<PayloadRef> = fitting_results(&record.results[after..])
-            .iter()
-            .map(|it| it.text.clone())
-            .collect();
-        let texts = self.read_payloads(&texts);
-        let texts: Option<Vec<Bytes>> = texts.and_then(|it| it.into_iter().collect());
-        let (Some(texts), Some(record)) = (texts, self.state.jobs.get(job)) else {
-            return LeaderReply::NotLeader;
-        };
-        LeaderReply::Results {
-            total: record.listed.len() as u64,
-            next: (after + texts.len()) as u64,
-            results: listed_results(record, after, texts),
-        }
-    }
-
     /// Marks an instance for removal if enough keepers remain without it.
     fn retire(&mut self, instance: String, origin: CallOrigin) {
         if !self.is_known_keeper(&instance) {
@@ -350,28 +276,3 @@
         }
     }
 }
-
-/// Returns the first results, up to [`MAX_RESULTS_BYTES`] of text.
-fn fitting_results(results: &[ItemResult]) -> &[ItemResult] {
-    let mut bytes = 0;
-    let fits = |(position, result): (usize, &ItemResult)| {
-        bytes += result.text.len();
-        position == 0 || bytes <= MAX_RESULTS_BYTES
-    };
-    let count = results.iter().enumerate().map(fits).take_while(|it| *it);
-    &results[..count.count()]
-}
-
-/// Returns the results with these texts, from position `after` on.
-fn listed_results(record: &JobRecord, after: usize, texts: Vec<Bytes>) -> Vec<ListedResult> {
-    let results = record.results[after..].iter().zip(texts);
-    results
-        .map(|(result, text)| ListedResult {
-            id: record.submission.items[result.item as usize].id.clone(),
-            end: result.end,
-            text,
-            versions: result.versions.clone(),
-            score: result.score.clone(),
-        })
-        .collect()
-}
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -17,7 +17,9 @@
 use super::memory::MemoryReport;
 use super::snapshots::SnapshotTurn;
 use super::snapshots::thresholds_of;
+use super::submissions::SubmissionGate;
 use super::targets::load_targets;
+use crate::budget::ResourceBudget;
 use crate::dialect::TargetDialect;
 use crate::directory::GroupMembers;
 use crate::directory::KeeperDirectory;
@@ -67,8 +69,8 @@
 /// Delay before a failed data folder is opened again, in milliseconds.
 const REOPEN_DELAY_MS: u64 = 500;
 
-/// Size of the youngest commands of the log that are kept in memory, in bytes.
-const LOG_TAIL_BYTES: usize = 4 * 1024 * 1024;
+/// Largest size of the youngest commands of the log that are kept in memory, in bytes.
+const MAX_LOG_TAIL_BYTES: usize = 4 * 1024 * 1024;
 
 /// Timing of heartbeats, leases and elections.
 const CONSENSUS_CONFIG: ConsensusConfig = ConsensusConfig {
@@ -88,6 +90,14 @@
     Leader,
 }
 
+/// Ways from the control thread to the rest of the process.
+#[derive(Debug)]
+pub(super) struct KeeperChannels {
+    pub(super) leader: LeaderClient,
+    pub(super) hub: Arc<LinkHub>,
+    pub(super) events: mpsc::UnboundedSender<KeeperEvent>,
+}
+
 /// A proposed change that has not been applied yet.
 #[derive(Debug)]
 pub(super) struct PendingChange {
@@ -157,9 +167,17 @@
     pub(super) texts_due: ClockTime,
     pub(super) snapshot: SnapshotTurn,
     pub(super) memory: MemoryReport,
+    /// Shares of the memory and the disk.
+    pub(super) budget: ResourceBudget,
+    pub(super) submissions: SubmissionGate,
 }
 
-fn open_voter(folder: DataFolder, content: FolderContent, time: ClockTime) -> DiskVoter {
+fn open_voter(
+    folder: DataFolder,
+    content: FolderContent,
+    time: ClockTime,
+    budget: &ResourceBudget,
+) -> DiskVoter {
     let start = NodeStart {
         node: NodeId(folder.identity().node),
         vote: content.vote,
@@ -168,29 +186,26 @@
         seed: rand::random(),
     };
     DiskVoter {
-        snapshots: thresholds_of(start.node),
+        snapshots: thresholds_of(start.node, budget.disk_bytes),
         node: ConsensusNode::new(time, CONSENSUS_CONFIG, start),
         folder,
-        log_tail_bytes: LOG_TAIL_BYTES,
+        log_tail_bytes: MAX_LOG_TAIL_BYTES.min(budget.log_tail_bytes as usize),
     }
 }
 
-/// Opens the journal of partial texts and returns it with the texts of an earlier run of the process.
-fn open_texts(data: &Path, time: ClockTime) -> (Option<TextJournal>, TextStore) {
-    let mut texts = TextStore::default();
-    let journal = match TextJournal::open(data) {
-        Ok((journal, deltas)) => {
-            for delta in deltas {
-                texts.apply_delta(time, delta);
-            }
-            Some(journal)
-        }
-        Err(error) => {
-            spdlog::warn!("texts: no journal, texts are in memory alone", kv: { error = error.to_string() });
-            None
-        }
-    };
-    (journal, texts)
+/// Opens the journal of partial texts and returns it with the texts of an earlier run of the process,
+/// up to `limit_bytes` of them.
+fn open_texts(
+    data: &Path,
+    time: ClockTime,
+    limit_bytes: usize,
+) -> (Option<TextJournal>, TextStore) {
+    let mut texts = TextStore::with_limit(limit_bytes);
+    let journal = TextJournal::open(data, |delta| texts.apply_delta(time, delta));
+    let journal = journal.inspect_err(|error| {
+        spdlog::warn!("texts: no journal, texts are in memory alone", kv: { error = error.to_string() });
+    });
+    (journal.ok(), texts)
 }
 
 impl<D: TargetDialect> KeeperCore<D> {
@@ -198,20 +213,25 @@
     pub(super) fn new(
         settings: KeeperSettings,
         dialect: D,
-        leader: LeaderClient,
+        channels: KeeperChannels,
         hello: HelloFrame,
         folder: (DataFolder, FolderContent),
-        hub: Arc<LinkHub>,
-        events: mpsc::UnboundedSender<KeeperEvent>,
+        budget: ResourceBudget,
     ) -> Self {
+        let KeeperChannels {
+            leader,
+            hub,
+            events,
+        } = channels;
         let time = now();
         let last_targets = load_targets(&settings.data);
-        let (text_journal, texts) = open_texts(&settings.data, time);
+        let (text_journal, texts) =
+            open_texts(&settings.data, time, budget.texts_bytes as usize / 2);
         let directory = KeeperDirectory::new(time, &settings.name, settings.seeds.clone());
         let forgets_actions = !settings.receivers_check_fences && !settings.may_bootstrap;
         let turns = DutyTurns::new(time, settings.duty_turn_ms, forgets_actions);
         let mut core = Self {
-            voter: Some(open_voter(folder.0, folder.1, time)),
+            voter: Some(open_voter(folder.0, folder.1, time, &budget)),
             forwarder: Arc::new(Forwarder::new(
                 dialect.clone(),
                 leader,
@@ -252,6 +272,8 @@
             texts_due: time,
             snapshot: SnapshotTurn::default(),
             memory: MemoryReport::default(),
+            submissions: SubmissionGate::new(&budget),
+            budget,
         };
         core.restore_from_disk();
         core.directory.set_members(core.members());
@@ -263,7 +285,7 @@
     pub(super) async fn run(
         mut self,
         mut links: mpsc::UnboundedReceiver<LinkEvent>,
-        mut requests: mpsc::UnboundedReceiver<CallRequest>,
+        mut requests: mpsc::Receiver<CallRequest>,
         mut inputs: mpsc::UnboundedReceiver<KeeperEvent>,
     ) {
         let mut tick_due = now();
@@ -341,7 +363,7 @@
         match DataFolder::open(&self.settings.data, NodeId(rand::random())) {
             Ok((folder, content)) => {
                 spdlog::info!("storage: data folder reopened");
-                self.voter = Some(open_voter(folder, content, time));
+                self.voter = Some(open_voter(folder, content, time, &self.budget));
                 self.state = ServiceState::default();
                 self.routes = None;
                 self.reset_snapshots();
--- a/crates/service/src/keeper/memory.rs
+++ b/crates/service/src/keeper/memory.rs
@@ -44,7 +44,10 @@
         let table = self.state.jobs.size();
         METRICS.links.set(links as i64);
         METRICS.queued_bytes.set(queued_bytes as i64);
+        let received_bytes = self.hub.received_bytes();
+        METRICS.received_bytes.set(received_bytes as i64);
         METRICS.partial_texts.set(self.texts.len() as i64);
+        METRICS.text_bytes.set(self.texts.bytes() as i64);
         METRICS.log_bytes.set(log_bytes as i64);
         METRICS.disk_bytes.set(disk_bytes as i64);
         METRICS.command_bytes.set(command_bytes as i64);
@@ -64,6 +67,7 @@
             resident_kb,
             links,
             queued_bytes,
+            received_bytes,
             log_bytes,
             disk_bytes,
             command_bytes,
@@ -72,6 +76,7 @@
             texts = self.texts.len(),
             jobs = table.jobs,
             items = table.items,
+            text_bytes = self.texts.bytes(),
             runs,
         });
     }
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -20,8 +20,10 @@
 mod payloads;
 mod peers;
 mod repair;
+mod results;
 mod scoring;
 mod snapshots;
+mod submissions;
 mod suspects;
 mod targets;
 mod texts;
@@ -39,12 +41,18 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use self::core::KeeperChannels;
 use self::core::KeeperCore;
+use crate::bodies::BodyBudget;
+use crate::budget::BudgetError;
+use crate::budget::ResourceBudget;
+use crate::budget::ResourceLimits;
 use crate::dialect::TargetDialect;
 use crate::frames::HelloFrame;
 use crate::frames::STATE_FORMAT;
 use crate::leader_client::LeaderClient;
 use crate::leaving::LeavingStart;
+use crate::link::LinkBudget;
 use crate::link::LinkEvent;
 use crate::link::LinkHub;
 use crate::scoring::ScoreEnd;
@@ -90,6 +98,8 @@
     pub receivers_check_fences: bool,
     /// Address of the platform's interface, which usage reports go to; if `None`, none are sent.
     pub platform: Option<SocketAddr>,
+    /// Limits on the resources of this keeper.
+    pub limits: ResourceLimits,
 }
 
 /// Input to the control thread other than link events and calls to the leader.
@@ -158,6 +168,8 @@
 pub struct KeeperHandle {
     /// Client for calls to the leader, which may be this keeper.
     pub leader: LeaderClient,
+    /// Budget of the bodies of requests to the control interface.
+    pub bodies: Arc<BodyBudget>,
     events: mpsc::UnboundedSender<KeeperEvent>,
 }
 
@@ -188,11 +200,14 @@
 ///
 /// # Errors
 ///
-/// Returns an error if the data folder can't be opened or the control thread can't be started.
+/// Returns an error if the limits are too low, the data folder can't be opened or the control thread
+/// can't be started.
 pub fn start_keeper<D: TargetDialect>(
     settings: KeeperSettings,
     dialect: D,
 ) -> Result<(KeeperHandle, Arc<LinkHub>), KeeperError> {
+    let budget = ResourceBudget::for_keeper(settings.limits)?;
+    budget.log("keeper", settings.limits);
     let (folder, content) = DataFolder::open(&settings.data, NodeId(rand::random()))?;
     let (leader, requests) = LeaderClient::new();
     let (link_sender, links) = mpsc::unbounded_channel::<LinkEvent>();
@@ -207,30 +222,44 @@
         address: Some(settings.link),
         control: Some(settings.control),
         relay: None,
+        max_frame_bytes: None,
         founds: settings.may_bootstrap && settings.seeds.contains(&settings.link),
         keepers: settings.seeds.clone(),
         state_format: STATE_FORMAT,
     };
-    let hub = LinkHub::new(hello.clone(), link_sender);
+    let hub = LinkHub::with_budget(hello.clone(), link_sender, LinkBudget::from(&budget));
+    let channels = KeeperChannels {
+        leader: leader.clone(),
+        hub: Arc::clone(&hub),
+        events: events.clone(),
+    };
     let core = KeeperCore::new(
         settings,
         dialect,
-        leader.clone(),
+        channels,
         hello,
         (folder, content),
-        Arc::clone(&hub),
-        events.clone(),
+        budget,
     );
     let control = Builder::new_current_thread().enable_time().build()?;
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || control.block_on(core.run(links, requests, inputs)))?;
-    Ok((KeeperHandle { leader, events }, hub))
+    let bodies = Arc::new(BodyBudget::new(budget.bodies_bytes));
+    let handle = KeeperHandle {
+        leader,
+        bodies,
+        events,
+    };
+    Ok((handle, hub))
 }
 
 /// Reason why a keeper could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum KeeperError {
+    /// The limits on the resources of the keeper are too low.
+    #[error(transparent)]
+    Budget(#[from] BudgetError),
     /// The data folder could not be opened.
     #[error("could not open the data folder: {0}")]
     Storage(#[from] StorageError),
--- a/crates/service/src/keeper/snapshots.rs
+++ b/crates/service/src/keeper/snapshots.rs
@@ -34,6 +34,10 @@
 /// Part of a threshold by which that of the last step is higher.
 const SPREAD_DIVISOR: u64 = 2;
 
+/// Divisor of the disk's share that yields the size of the log above which a snapshot is taken at the
+/// latest: the log is released in portions of that size.
+const DISK_DIVISOR: u64 = 8;
+
 /// Pause after a snapshot that could not be written or has to wait, in milliseconds.
 const SNAPSHOT_RETRY_MS: u64 = 10_000;
 
@@ -53,13 +57,14 @@
     has_release: bool,
 }
 
-/// Returns the thresholds of a node. They differ, so that the nodes of a group, whose logs grow alike,
-/// take their snapshots at different times.
-pub(super) fn thresholds_of(node: NodeId) -> SnapshotThresholds {
+/// Returns the thresholds of a node whose log and snapshots may take `disk_bytes`. They differ, so
+/// that the nodes of a group, whose logs grow alike, take their snapshots at different times.
+pub(super) fn thresholds_of(node: NodeId, disk_bytes: u64) -> SnapshotThresholds {
     let step = node.0 % SPREAD_STEPS;
     let spread = |least: u64| least + least / SPREAD_DIVISOR * step / SPREAD_STEPS;
+    let log_bytes = SNAPSHOT_THRESHOLDS.log_bytes;
     SnapshotThresholds {
-        log_bytes: spread(SNAPSHOT_THRESHOLDS.log_bytes),
+        log_bytes: spread(log_bytes.min(disk_bytes / DISK_DIVISOR)),
         entries: spread(SNAPSHOT_THRESHOLDS.entries),
     }
 }
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -6,6 +6,8 @@
 //! the entry routes by. A [`dialect::TargetDialect`] adapts the service to the protocols of one
 //! deployment.
 
+pub mod bodies;
+pub mod budget;
 pub mod choice;
 pub mod dialect;
 pub mod directory;
@@ -15,6 +17,7 @@
 pub mod events;
 pub mod forward;
 pub mod frames;
+pub mod inbox;
 pub mod jobs;
 pub mod keeper;
 pub mod leader_client;
--- a/crates/service/src/link.rs
+++ b/crates/service/src/link.rs
@@ -3,6 +3,9 @@
 //! A link without traffic for `SILENCE_LIMIT` is closed, and the side that dialled it
 //! reconnects.
 
+mod load;
+mod transfer;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
@@ -14,7 +17,6 @@
 
 use bytes::Bytes;
 use futures_util::SinkExt;
-use futures_util::StreamExt;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -27,14 +29,19 @@
 use tokio_tungstenite::tungstenite;
 use tokio_tungstenite::tungstenite::protocol::WebSocketConfig;
 
+use crate::budget::ResourceBudget;
 use crate::frames::HelloFrame;
 use crate::frames::LeadHint;
 use crate::frames::LinkFrame;
-use crate::outbox::FrameQueue;
+use crate::inbox::FramePool;
+use crate::inbox::FrameReceipt;
+use crate::inbox::InboxBudget;
 use crate::outbox::FrameSender;
+use crate::outbox::OutboxBudget;
 use crate::outbox::QueueFailure;
 use crate::outbox::frame_queue;
 use crate::parts::PART_BYTES;
+use crate::parts::SkippedFrame;
 use crate::parts::feed_frame;
 use crate::parts::next_frame;
 use bergamotlane_wire::codec;
@@ -68,6 +75,12 @@
 /// Number of queued frames after the first that are written before the connection is flushed.
 const FLUSH_AFTER_FRAMES: usize = 64;
 
+/// Share of the links of a process without a budget in each direction, in bytes.
+const DEFAULT_LINK_BYTES: usize = 64 * 1024 * 1024;
+
+/// Largest hello frame, in bytes.
+const MAX_HELLO_BYTES: usize = 64 * 1024;
+
 /// ID of a link, unique within this process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkId(pub u64);
@@ -81,8 +94,8 @@
     /// The peer closed the link.
     #[error("the peer closed the link")]
     Closed,
-    /// A message could not be decoded.
-    #[error("message could not be decoded: {0}")]
+    /// The hello frame could not be decoded.
+    #[error("hello frame could not be decoded: {0}")]
     Frame(#[from] WireError),
     /// A message does not fit the protocol: it is empty, too long, or not the hello frame that
     /// must come first.
@@ -94,11 +107,41 @@
     /// The process connected to its own address.
     #[error("connected to itself")]
     Itself,
+    /// Too much waited for all links of the process, and most of it for this one.
+    #[error("too much waits for the links of this process")]
+    Cut,
     /// Nothing was received, or nothing could be sent, within the time limit.
     #[error("silent for too long")]
     Silent,
 }
 
+/// Largest sizes of what all links of a process hold, in bytes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct LinkBudget {
+    /// Frames that wait to be sent.
+    pub outbound_bytes: usize,
+    /// Frames that were received and not handled yet.
+    pub inbound_bytes: usize,
+}
+
+impl Default for LinkBudget {
+    fn default() -> Self {
+        Self {
+            outbound_bytes: DEFAULT_LINK_BYTES,
+            inbound_bytes: DEFAULT_LINK_BYTES,
+        }
+    }
+}
+
+impl From<&ResourceBudget> for LinkBudget {
+    fn from(budget: &ResourceBudget) -> Self {
+        Self {
+            outbound_bytes: budget.outbound_bytes as usize,
+            inbound_bytes: budget.inbound_bytes as usize,
+        }
+    }
+}
+
 /// Event that a [`LinkHub`] reports.
 #[derive(Debug)]
 pub enum LinkEvent {
@@ -113,17 +156,26 @@
     },
     /// A link went down.
     Down(LinkId),
-    /// A frame arrived on a link.
-    Frame(LinkId, LinkFrame),
+    /// A frame arrived on a link. Its receipt must be dropped once the frame is handled: until then, its
+    /// bytes count as received.
+    Frame(LinkId, LinkFrame, FrameReceipt),
 }
 
 type Socket = WebSocketStream<TcpStream>;
 
+/// Other end of a link.
+#[derive(Debug)]
+struct LinkPeer {
+    sender: FrameSender,
+    /// Longest frame that the peer receives, in bytes, if it names one.
+    max_frame_bytes: Option<u64>,
+}
+
 #[derive(Debug)]
 struct HubState {
     hello: HelloFrame,
     hint: LeadHint,
-    links: HashMap<LinkId, FrameSender>,
+    links: HashMap<LinkId, LinkPeer>,
     /// Addresses for which a dialling task runs.
     dialled: HashSet<SocketAddr>,
     /// Addresses to which links are maintained.
@@ -135,13 +187,31 @@
 #[derive(Debug)]
 pub struct LinkHub {
     state: Mutex<HubState>,
+    outbox: Arc<OutboxBudget>,
+    inbox: InboxBudget,
     events: mpsc::UnboundedSender<LinkEvent>,
 }
 
 impl LinkHub {
-    /// Returns a hub without links that reports to `events`.
+    /// Returns a hub without links that reports to `events`, with the default budget.
     pub fn new(hello: HelloFrame, events: mpsc::UnboundedSender<LinkEvent>) -> Arc<Self> {
+        Self::with_budget(hello, events, LinkBudget::default())
+    }
+
+    /// Returns a hub without links that reports to `events`.
+    pub fn with_budget(
+        hello: HelloFrame,
+        events: mpsc::UnboundedSender<LinkEvent>,
+        budget: LinkBudget,
+    ) -> Arc<Self> {
+        let inbox = InboxBudget::new(budget.inbound_bytes);
+        let hello = HelloFrame {
+            max_frame_bytes: Some(inbox.max_frame_bytes() as u64),
+            ..hello
+        };
         Arc::new(Self {
+            outbox: Arc::new(OutboxBudget::new(budget.outbound_bytes)),
+            inbox,
             state: Mutex::new(HubState {
                 hello,
                 hint: LeadHint::default(),
@@ -176,17 +246,21 @@
     /// Queues an encoded frame on a link; returns false if the link is down.
     ///
     /// If too much waits for the peer already, the link ends once what waits is sent or the peer has
-    /// been silent for too long: a link that goes on must not lack a frame.
+    /// been silent for too long: a link that goes on must not lack a frame. If too much waits for all
+    /// peers together, the links for which most of it waits end at once.
     pub fn send_encoded(&self, link: LinkId, frame: Bytes) -> bool {
         let mut state = self.state();
-        let Some(sender) = state.links.get(&link) else {
+        let Some(peer) = state.links.get(&link) else {
             return false;
         };
-        match sender.send(frame) {
-            Ok(()) => true,
+        match peer.sender.send(frame) {
+            Ok(()) => {
+                self.shed(&mut state);
+                true
+            }
             Err(QueueFailure::Closed) => false,
             Err(QueueFailure::Full) => {
-                spdlog::warn!("link: peer does not read, link ends", kv: { link = link.0, queued_bytes = sender.queued_bytes() });
+                spdlog::warn!("link: peer does not read, link ends", kv: { link = link.0, queued_bytes = peer.sender.held_bytes() });
                 state.links.remove(&link);
                 false
             }
@@ -198,13 +272,6 @@
         self.state().links.remove(&link);
     }
 
-    /// Returns the number of links, and the size of all frames that wait on them, in bytes.
-    pub fn load(&self) -> (usize, usize) {
-        let state = self.state();
-        let queued_bytes = state.links.values().map(FrameSender::queued_bytes);
-        (state.links.len(), queued_bytes.sum())
-    }
-
     /// Maintains links to exactly these addresses, except this process's own. Existing links to
     /// other addresses stay up but are not re-established. Must be called within the runtime.
     pub fn set_peers(self: &Arc<Self>, addresses: impl IntoIterator<Item = SocketAddr>) {
@@ -289,10 +356,13 @@
     async fn exchange_hello(&self, mut socket: Socket) -> Result<(Socket, HelloFrame), LinkError> {
         let own_hello = self.state().hello.clone();
         let message = codec::encode(&LinkFrame::Hello(own_hello.clone()));
-        feed_frame(&mut socket, &message).await?;
+        feed_frame(&mut socket, &message, SILENCE_LIMIT).await?;
         socket.flush().await?;
-        let LinkFrame::Hello(peer_hello) = next_frame(&mut socket).await? else {
-            return Err(LinkError::Unexpected);
+        let pool = FramePool::new(MAX_HELLO_BYTES, false);
+        let peer_hello = match next_frame(&mut socket, &pool, SILENCE_LIMIT).await? {
+            Ok((LinkFrame::Hello(hello), _)) => hello,
+            Err(SkippedFrame::Unknown(error)) => return Err(error.into()),
+            _ => return Err(LinkError::Unexpected),
         };
         if peer_hello.run == own_hello.run {
             return Err(LinkError::Itself);
@@ -304,22 +374,28 @@
     }
 
     async fn run(&self, socket: Socket, hello: HelloFrame, dialled: bool) {
-        let (sender, outbound) = frame_queue();
+        let (sender, outbound) = frame_queue(&self.outbox);
         let link = {
             let mut state = self.state();
             state.next_link += 1;
             let link = LinkId(state.next_link);
-            state.links.insert(link, sender);
+            let max_frame_bytes = hello.max_frame_bytes;
+            let peer = LinkPeer {
+                sender,
+                max_frame_bytes,
+            };
+            state.links.insert(link, peer);
             link
         };
         let peer = hello.name.clone();
+        let pool = self.inbox.pool(hello.node.is_some());
         spdlog::info!("link: up", kv: { peer = peer.as_str(), dialled });
         self.report(LinkEvent::Up {
             link,
             hello,
             dialled,
         });
-        let error = self.transfer(socket, link, outbound).await;
+        let error = self.transfer(socket, link, outbound, pool).await;
         spdlog::info!("link: down", kv: { peer = peer.as_str(), dialled, error = error.to_string() });
         self.state().links.remove(&link);
         self.report(LinkEvent::Down(link));
@@ -329,51 +405,6 @@
         // The receiver is only dropped when the process ends.
         self.events.send(event).ok();
     }
-
-    /// Sends queued frames and reports received ones until the link fails.
-    async fn transfer(&self, socket: Socket, link: LinkId, mut outbound: FrameQueue) -> LinkError {
-        let (mut sink, mut source) = socket.split();
-        let write = async {
-            loop {
-                let first = match timeout(PING_INTERVAL, outbound.recv()).await {
-                    Ok(Some(frame)) => frame,
-                    Ok(None) => return LinkError::Closed,
-                    Err(_) => {
-                        let hint = self.state().hint;
-                        codec::encode(&LinkFrame::Ping(hint))
-                    }
-                };
-                let send = async {
-                    feed_frame(&mut sink, &first).await?;
-                    for _ in 0..FLUSH_AFTER_FRAMES {
-                        match outbound.try_recv() {
-                            Some(frame) => feed_frame(&mut sink, &frame).await?,
-                            None => break,
-                        }
-                    }
-                    sink.flush().await
-                };
-                match timeout(SILENCE_LIMIT, send).await {
-                    Ok(Ok(())) => {}
-                    Ok(Err(error)) => return LinkError::Transport(error),
-                    Err(_) => return LinkError::Silent,
-                }
-            }
-        };
-        let read = async {
-            loop {
-                match timeout(SILENCE_LIMIT, next_frame(&mut source)).await {
-                    Ok(Ok(frame)) => self.report(LinkEvent::Frame(link, frame)),
-                    Ok(Err(error)) => return error,
-                    Err(_) => return LinkError::Silent,
-                }
-            }
-        };
-        tokio::select! {
-            error = write => error,
-            error = read => error,
-        }
-    }
 }
 
 fn socket_config() -> WebSocketConfig {
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -97,6 +97,26 @@
     pub stored_bytes: IntGauge,
     /// Size of the bodies and texts that the state holds in memory, in bytes.
     pub inline_bytes: IntGauge,
+    /// Size of the jobs' records in the state, in bytes, as the leader measured it.
+    pub state_bytes: IntGauge,
+    /// Number of jobs that were refused, by the share that was full.
+    pub jobs_refused: IntCounterVec,
+    /// Size of the frames that were received and not handled yet, in bytes.
+    pub received_bytes: IntGauge,
+    /// Number of received frames that were skipped: unknown to this build, or too long.
+    pub frames_skipped: IntCounter,
+    /// Number of links that ended since too much waited for all links.
+    pub links_cut: IntCounter,
+    /// Number of requests refused because their bodies did not fit.
+    pub bodies_refused: IntCounter,
+    /// Number of requests refused because callers don't read their answers.
+    pub answers_refused: IntCounter,
+    /// Size of the partial texts that are kept, in bytes.
+    pub text_bytes: IntGauge,
+    /// Number of partial texts that were dropped to make room for others.
+    pub texts_dropped: IntCounter,
+    /// Number of calls to the leader that were put off since too many waited.
+    pub calls_delayed: IntCounter,
     lines_dropped: IntGauge,
 }
 
@@ -170,6 +190,22 @@
                 "state_memory_bytes",
                 "Bodies and texts of the state in memory.",
             ),
+            received_bytes: gauge("link_received_bytes", "Frames not handled yet."),
+            frames_skipped: counter("link_frames_skipped_total", "Frames skipped."),
+            links_cut: counter("links_cut_total", "Links ended, too much waited."),
+            bodies_refused: counter("bodies_refused_total", "Bodies refused, no room."),
+            answers_refused: counter(
+                "answers_refused_total",
+                "Requests refused, answers not read.",
+            ),
+            text_bytes: gauge("partial_text_bytes", "Size of the partial texts."),
+            texts_dropped: counter(
+                "partial_texts_dropped_total",
+                "Partial texts dropped, no room.",
+            ),
+            calls_delayed: counter("leader_calls_delayed_total", "Calls put off, queue full."),
+            state_bytes: gauge("state_bytes", "Size of the jobs' records."),
+            jobs_refused: counters("jobs_refused_total", "Jobs refused, no space.", "share"),
             lines_dropped: gauge("log_lines_dropped", "Log lines dropped, queue full."),
             registry,
         }
--- a/crates/service/tests/state/earlier.rs
+++ b/crates/service/tests/state/earlier.rs
@@ -88,6 +88,7 @@
         address: None,
         control: None,
         relay: None,
+        max_frame_bytes: None,
         founds: false,
         keepers: BTreeSet::new(),
         state_format: STATE_FORMAT,
--- a/crates/service/tests/targets/group.rs
+++ b/crates/service/tests/targets/group.rs
@@ -20,6 +20,7 @@
 
 use crate::support::TestDialect;
 use crate::support::view;
+use bergamotlane_service::budget::ResourceLimits;
 use bergamotlane_service::entry::EntryHandle;
 use bergamotlane_service::entry::EntrySettings;
 use bergamotlane_service::entry::start_entry;
@@ -116,6 +117,7 @@
         address: Some(address),
         control: None,
         relay: None,
+        max_frame_bytes: None,
         founds: false,
         keepers: BTreeSet::new(),
         state_format: 0,
@@ -161,8 +163,9 @@
                 seeds: BTreeSet::from([address]),
                 relay: Some(relay),
                 usage_window_ms: 60_000,
+                limits: ResourceLimits::default(),
             };
-            let handle = start_entry(settings, TestDialect);
+            let handle = start_entry(settings, TestDialect).unwrap();
             tokio::spawn(Arc::clone(&handle.hub).listen(listener));
             let link = loop {
                 match timeout(TIMEOUT, events.recv()).await.unwrap().unwrap() {
@@ -180,7 +183,7 @@
         let (answering, received) = (Arc::clone(&hub), Arc::clone(&calls));
         tokio::spawn(async move {
             while let Some(event) = events.recv().await {
-                if let LinkEvent::Frame(link, LinkFrame::Call { id, call }) = event {
+                if let LinkEvent::Frame(link, LinkFrame::Call { id, call }, _) = event {
                     received.lock().unwrap().push((link, call));
                     let reply = LeaderReply::Done;
                     answering.send(link, &LinkFrame::Reply { id, reply });
--- a/crates/service/tests/targets/kept.rs
+++ b/crates/service/tests/targets/kept.rs
@@ -20,6 +20,7 @@
 use crate::support::TestDialect;
 use bergamotlane_coordination::consensus::ConsensusMessage;
 use bergamotlane_coordination::consensus::LogSnapshot;
+use bergamotlane_service::budget::ResourceLimits;
 use bergamotlane_service::frames::HelloFrame;
 use bergamotlane_service::frames::LeaderCall;
 use bergamotlane_service::frames::LeaderReply;
@@ -87,6 +88,7 @@
         voters,
         usage_window_ms: 600_000,
         job_retention_ms: retention_ms,
+        limits: ResourceLimits::default(),
         duty_turn_ms: 100,
         receivers_check_fences: true,
         platform: None,
@@ -270,7 +272,7 @@
 ) -> LogSnapshot {
     loop {
         let event = timeout(EVENT_LIMIT, events.recv()).await.unwrap().unwrap();
-        let LinkEvent::Frame(link, LinkFrame::Consensus(wire)) = event else {
+        let LinkEvent::Frame(link, LinkFrame::Consensus(wire), _) = event else {
             continue;
         };
         match ConsensusMessage::try_from(wire).unwrap() {
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -7,6 +7,8 @@
 mod forward;
 mod group;
 mod kept;
+mod readers;
 mod relay;
 mod run;
+mod stored;
 mod support;
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -25,6 +25,7 @@
 pub use folder::DataFolder;
 pub use folder::FolderContent;
 pub use folder::FolderIdentity;
+pub use journal::JournalRecords;
 pub use journal::RecordJournal;
 pub use snapshots::SnapshotWriter;
 pub use snapshots::WrittenSnapshot;
--- a/crates/storage/src/snapshots.rs
+++ b/crates/storage/src/snapshots.rs
@@ -337,7 +337,7 @@
         path: path.to_owned(),
         offset: 0,
     })?;
-    codec::read(payload).map_err(decode_error(path))
+    codec::decode_from(payload).map_err(decode_error(path))
 }
 
 /// Removes temporary files of snapshots.
--- a/crates/wire/src/codec.rs
+++ b/crates/wire/src/codec.rs
@@ -38,7 +38,16 @@
 ///
 /// Returns [`WireError::Decode`] if the bytes aren't the encoding of a `T`.
 pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, WireError> {
-    Ok(ciborium::from_reader(bytes)?)
+    decode_from(bytes)
+}
+
+/// Decodes a value from the CBOR that a reader yields.
+///
+/// # Errors
+///
+/// Returns [`WireError::Decode`] if the bytes aren't the encoding of a `T`.
+pub fn decode_from<T: DeserializeOwned>(reader: impl Read) -> Result<T, WireError> {
+    Ok(ciborium::from_reader(reader)?)
 }
 
 /// Writes the CBOR encoding of a value, as [`encode`] returns it.
@@ -52,12 +61,3 @@
         ciborium::ser::Error::Value(text) => io::Error::other(text),
     })
 }
-
-/// Decodes a value from CBOR that is read piece by piece.
-///
-/// # Errors
-///
-/// Returns [`WireError::Decode`] if the bytes can't be read, or aren't the encoding of a `T`.
-pub fn read<T: DeserializeOwned>(reader: impl Read) -> Result<T, WireError> {
-    Ok(ciborium::from_reader(reader)?)
-}
