Keep a few bytes of each log entry whose command was evicted

Cause: a log entry took about a hundred bytes without its command, so memory followed the number of entries in the log.

Change: entries without commands at the begin of the log are kept as a length each, with one term for each run of entries. ReplicatedLog::entry returns an owned entry, and entries_from replaces slice.

Evidence: cargo test -p bergamotlane-coordination -p bergamotlane-storage passes.

--- a/crates/coordination/src/consensus/log.rs
+++ b/crates/coordination/src/consensus/log.rs
@@ -2,10 +2,14 @@
 //!
 //! Commands of synced entries can be evicted, so that the log holds only their lengths.
 
+use std::collections::VecDeque;
+
 use bytes::Bytes;
 
 use super::membership::GroupMembership;
 use super::message::EntryBody;
+use super::stored::StoredBody;
+use super::stored::StoredRange;
 
 /// Entry of the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -62,11 +66,12 @@
 #[derive(Debug, Clone, Default)]
 pub struct ReplicatedLog {
     snapshot: LogSnapshot,
-    entries: Vec<LogEntry>,
-    /// Memberships in `entries`, each with the index of its entry, in ascending order.
+    /// Entries after the snapshot that hold no command.
+    stored: StoredRange,
+    /// Entries after `stored`.
+    entries: VecDeque<LogEntry>,
+    /// Memberships of all entries, each with the index of its entry, in ascending order.
     memberships: Vec<(u64, GroupMembership)>,
-    /// Index up to which no entry holds a command.
-    evicted: u64,
     /// Total size of the commands that the entries hold, in bytes.
     held_bytes: usize,
 }
@@ -79,6 +84,16 @@
     }
 }
 
+/// Returns what is kept of an entry whose command is in storage.
+fn stored_body(entry: &LogEntry) -> StoredBody {
+    match &entry.body {
+        EntryBody::Noop => StoredBody::Noop,
+        EntryBody::Command(command) => StoredBody::Command(command.len() as u32),
+        EntryBody::Stored(length) => StoredBody::Command(*length),
+        EntryBody::Membership(_) => StoredBody::Membership,
+    }
+}
+
 impl ReplicatedLog {
     /// Creates a log from stored state.
     ///
@@ -86,12 +101,12 @@
     /// snapshot must be in storage; the log drops it.
     pub fn new(snapshot: LogSnapshot, entries: Vec<LogEntry>) -> Self {
         let mut log = Self {
-            evicted: snapshot.index,
+            stored: StoredRange::new(snapshot.index),
             snapshot: LogSnapshot {
                 data: SnapshotData::Stored,
                 ..snapshot
             },
-            entries: Vec::new(),
+            entries: VecDeque::new(),
             memberships: Vec::new(),
             held_bytes: 0,
         };
@@ -106,14 +121,13 @@
 
     /// Returns the index of the last entry, or that of the snapshot if no entry follows it.
     pub fn last_index(&self) -> u64 {
-        self.snapshot.index + self.entries.len() as u64
+        self.stored.last_index() + self.entries.len() as u64
     }
 
     /// Returns the term of the last entry, or that of the snapshot if no entry follows it.
     pub fn last_term(&self) -> u64 {
-        self.entries
-            .last()
-            .map_or(self.snapshot.term, |entry| entry.term)
+        self.term_at(self.last_index())
+            .unwrap_or(self.snapshot.term)
     }
 
     /// Returns the term of the entry at `index`.
@@ -124,24 +138,49 @@
         if index == self.snapshot.index {
             return Some(self.snapshot.term);
         }
-        self.entry(index).map(|entry| entry.term)
+        match self.stored.get(index) {
+            Some((term, _)) => Some(term),
+            None => self.held(index).map(|entry| entry.term),
+        }
     }
 
     /// Returns the entry at `index`, or `None` if it was compacted or not yet appended.
-    pub fn entry(&self, index: u64) -> Option<&LogEntry> {
-        let offset = index.checked_sub(self.snapshot.index + 1)?;
-        self.entries.get(offset as usize)
+    pub fn entry(&self, index: u64) -> Option<LogEntry> {
+        let Some((term, body)) = self.stored.get(index) else {
+            return self.held(index).cloned();
+        };
+        let body = match body {
+            StoredBody::Noop => EntryBody::Noop,
+            StoredBody::Command(length) => EntryBody::Stored(length),
+            StoredBody::Membership => {
+                let memberships = &self.memberships;
+                let found = memberships.binary_search_by_key(&index, |(at, _)| *at);
+                EntryBody::Membership(memberships[found.ok()?].1.clone())
+            }
+        };
+        Some(LogEntry { index, term, body })
     }
 
-    /// Returns up to `count` entries from `index` on.
-    ///
-    /// Starts at the first entry after the snapshot if `index` was compacted.
-    pub fn slice(&self, index: u64, count: usize) -> &[LogEntry] {
-        let first = self.snapshot.index + 1;
-        let start = (index.max(first) - first) as usize;
-        let start = start.min(self.entries.len());
-        let end = (start + count).min(self.entries.len());
-        &self.entries[start..end]
+    /// Returns the entries from `index` on, or from the first one after the snapshot if `index`
+    /// was compacted.
+    pub fn entries_from(&self, index: u64) -> impl Iterator<Item = LogEntry> {
+        let first = index.max(self.snapshot.index + 1);
+        (first..).map_while(|index| self.entry(index))
+    }
+
+    /// Returns the size of the command at `index`, in bytes; zero if there is none.
+    pub(super) fn command_bytes(&self, index: u64) -> usize {
+        match self.stored.get(index) {
+            Some((_, StoredBody::Command(length))) => length as usize,
+            Some(_) => 0,
+            None => self.held(index).map_or(0, held_bytes),
+        }
+    }
+
+    /// Returns the entry at `index` if it isn't among the stored ones.
+    fn held(&self, index: u64) -> Option<&LogEntry> {
+        let offset = index.checked_sub(self.stored.last_index() + 1)?;
+        self.entries.get(offset as usize)
     }
 
     /// Returns the latest membership of the log and the index of the entry that set it.
@@ -159,22 +198,31 @@
         let Some(first) = entries.first() else {
             return;
         };
-        let keep = first.index.saturating_sub(self.snapshot.index + 1) as usize;
-        let dropped = self.entries.get(keep..).unwrap_or_default();
-        self.held_bytes -= dropped.iter().map(held_bytes).sum::<usize>();
-        self.evicted = self.evicted.min(first.index.saturating_sub(1));
-        self.entries.truncate(keep);
-        self.memberships.retain(|(index, _)| *index < first.index);
-        self.entries.reserve(entries.len());
+        self.truncate(first.index.saturating_sub(1));
         for entry in entries {
-            self.held_bytes += held_bytes(&entry);
             if let EntryBody::Membership(membership) = &entry.body {
                 self.memberships.push((entry.index, membership.clone()));
             }
-            self.entries.push(entry);
+            let bytes = held_bytes(&entry);
+            self.held_bytes += bytes;
+            if bytes == 0 && self.entries.is_empty() {
+                self.stored.push(entry.term, stored_body(&entry));
+            } else {
+                self.entries.push_back(entry);
+            }
         }
     }
 
+    /// Drops the entries after `index`.
+    fn truncate(&mut self, index: u64) {
+        let keep = index.saturating_sub(self.stored.last_index()) as usize;
+        let dropped = self.entries.iter().skip(keep);
+        self.held_bytes -= dropped.map(held_bytes).sum::<usize>();
+        self.entries.truncate(keep);
+        self.stored.truncate(index);
+        self.memberships.retain(|(at, _)| *at <= index);
+    }
+
     /// Returns the total size of the commands that the log holds in memory, in bytes.
     pub fn held_bytes(&self) -> usize {
         self.held_bytes
@@ -183,16 +231,12 @@
     /// Replaces the oldest commands by [`EntryBody::Stored`] until at most `keep_bytes` of
     /// commands remain, but none after the index `synced`.
     pub(super) fn evict_commands(&mut self, synced: u64, keep_bytes: usize) {
-        let end = synced.min(self.last_index());
-        while self.held_bytes > keep_bytes && self.evicted < end {
-            self.evicted += 1;
-            let offset = (self.evicted - self.snapshot.index - 1) as usize;
-            let entry = &mut self.entries[offset];
-            if let EntryBody::Command(command) = &entry.body {
-                let length = command.len();
-                self.held_bytes -= length;
-                entry.body = EntryBody::Stored(length as u32);
-            }
+        while self.held_bytes > keep_bytes && self.stored.last_index() < synced {
+            let Some(entry) = self.entries.pop_front() else {
+                return;
+            };
+            self.held_bytes -= held_bytes(&entry);
+            self.stored.push(entry.term, stored_body(&entry));
         }
     }
 
@@ -224,11 +268,11 @@
         let Some(snapshot) = self.snapshot_at(index) else {
             return false;
         };
-        let dropped = self.entries.drain(..(index - self.snapshot.index) as usize);
+        let held = index.saturating_sub(self.stored.last_index()) as usize;
+        let dropped = self.entries.drain(..held);
         self.held_bytes -= dropped.map(|entry| held_bytes(&entry)).sum::<usize>();
-        self.entries.shrink_to(self.entries.len() * 2);
+        self.stored.drop_until(index);
         self.memberships.retain(|(at, _)| *at > index);
-        self.evicted = self.evicted.max(index);
         self.snapshot = snapshot;
         true
     }
@@ -238,12 +282,14 @@
     /// Entries after the snapshot are kept if the log has the last entry that it covers;
     /// otherwise they may belong to a diverged log and are dropped.
     pub fn install(&mut self, snapshot: LogSnapshot) {
-        let tail = match self.term_at(snapshot.index) {
-            Some(term) if term == snapshot.term => {
-                self.slice(snapshot.index + 1, usize::MAX >> 1).to_vec()
-            }
-            _ => Vec::new(),
+        if self.term_at(snapshot.index) != Some(snapshot.term) {
+            *self = Self::new(snapshot, Vec::new());
+            return;
+        }
+        self.compact(snapshot.index);
+        self.snapshot = LogSnapshot {
+            data: SnapshotData::Stored,
+            ..snapshot
         };
-        *self = Self::new(snapshot, tail);
     }
 }
--- a/crates/coordination/src/consensus/mod.rs
+++ b/crates/coordination/src/consensus/mod.rs
@@ -26,6 +26,7 @@
 mod proposal;
 mod replication;
 mod role;
+mod stored;
 
 #[cfg(test)]
 mod tests;
--- a/crates/coordination/src/consensus/node.rs
+++ b/crates/coordination/src/consensus/node.rs
@@ -455,7 +455,7 @@
                 self.apply_budget = self.apply_budget.saturating_sub(length as usize);
             }
             self.applied += 1;
-            out.push(ConsensusOutput::Apply(entry.clone()));
+            out.push(ConsensusOutput::Apply(entry));
         }
     }
 }
--- a/crates/coordination/src/consensus/replication.rs
+++ b/crates/coordination/src/consensus/replication.rs
@@ -1,8 +1,11 @@
 //! Log replication: appends, their answers, snapshots and the commit index.
 
+use std::ops::RangeInclusive;
+
 use super::election::LogEnd;
 use super::log::LogEntry;
 use super::log::LogSnapshot;
+use super::log::ReplicatedLog;
 use super::message::ConsensusMessage;
 use super::message::EntryBody;
 use super::node::ConsensusNode;
@@ -25,33 +28,25 @@
 /// Time without an answer after which a peer is sent a snapshot again, in milliseconds.
 const SNAPSHOT_RETRY_MS: u64 = 2_000;
 
-/// Returns the size of the command of an entry, in bytes.
-fn command_bytes(entry: &LogEntry) -> usize {
-    match &entry.body {
-        EntryBody::Command(command) => command.len(),
-        EntryBody::Stored(length) => *length as usize,
-        EntryBody::Noop | EntryBody::Membership(_) => 0,
-    }
-}
-
-/// Returns whether the commands in `entries` are smaller than `limit` bytes in total.
-fn is_smaller(entries: &[LogEntry], limit: usize) -> bool {
+/// Returns whether the commands of the entries in `indexes` are smaller than `limit` bytes in total.
+fn is_smaller(log: &ReplicatedLog, mut indexes: RangeInclusive<u64>, limit: usize) -> bool {
     let mut bytes = 0;
-    entries.iter().all(|entry| {
-        bytes += command_bytes(entry);
+    indexes.all(|index| {
+        bytes += log.command_bytes(index);
         bytes < limit
     })
 }
 
-/// Returns the first entries that fit into one message, at least one if there is any.
-fn take_batch(entries: &[LogEntry]) -> Vec<LogEntry> {
+/// Returns the entries from `index` on that fit into one message, at least one if there is any.
+fn take_batch(log: &ReplicatedLog, index: u64) -> Vec<LogEntry> {
     let mut bytes = 0;
-    let fits = |entry: &&LogEntry| {
+    let fits = |entry: &LogEntry| {
         let before = bytes;
-        bytes += command_bytes(entry);
+        bytes += log.command_bytes(entry.index);
         before < APPEND_BATCH_BYTES
     };
-    entries.iter().take_while(fits).cloned().collect()
+    let entries = log.entries_from(index).take(APPEND_BATCH_ENTRIES);
+    entries.take_while(fits).collect()
 }
 
 /// Replication progress of a peer, as known to the leader.
@@ -178,10 +173,9 @@
             self.send_snapshot(now, to, send_empty, out);
             return;
         };
-        let sent = (progress.next - 1).saturating_sub(progress.matched) as usize;
-        let unanswered = self.log.slice(progress.matched + 1, sent);
-        let entries = match is_smaller(unanswered, MAX_UNANSWERED_BYTES) {
-            true => take_batch(self.log.slice(progress.next, APPEND_BATCH_ENTRIES)),
+        let unanswered = progress.matched.max(self.log.snapshot().index) + 1..=prev_index;
+        let entries = match is_smaller(&self.log, unanswered, MAX_UNANSWERED_BYTES) {
+            true => take_batch(&self.log, progress.next),
             false => Vec::new(),
         };
         if entries.is_empty() && !send_empty {
--- a/crates/coordination/src/consensus/tests.rs
+++ b/crates/coordination/src/consensus/tests.rs
@@ -970,7 +970,7 @@
     assert_eq!(node.log().held_bytes(), 20);
     node.evict_commands(0);
     assert_eq!(node.log().held_bytes(), 10);
-    let body = |index| node.log().entry(index).unwrap().body.clone();
+    let body = |index| node.log().entry(index).unwrap().body;
     assert_eq!(body(synced + 3), EntryBody::Stored(10));
     assert_eq!(
         body(synced + 4),
--- a/crates/storage/src/tests.rs
+++ b/crates/storage/src/tests.rs
@@ -65,7 +65,7 @@
 /// Returns the entries of an opened folder, with their commands.
 fn entries_of(folder: &DataFolder, content: &FolderContent) -> Vec<LogEntry> {
     let log = &content.log;
-    let mut entries = log.slice(log.snapshot().index + 1, 100).to_vec();
+    let mut entries: Vec<LogEntry> = log.entries_from(1).collect();
     for entry in &mut entries {
         if let EntryBody::Stored(length) = entry.body {
             let command = folder.read_command(entry.index, 0..length).unwrap();
--- a/crates/storage/src/tests/voter.rs
+++ b/crates/storage/src/tests/voter.rs
@@ -123,7 +123,7 @@
     group.propose(100);
     let member = group.members.get_mut(&NodeId(1)).unwrap();
     let index = index_of(member, 7);
-    let stored = member.voter.node.log().entry(index).unwrap().clone();
+    let stored = member.voter.node.log().entry(index).unwrap();
     assert!(matches!(stored.body, EntryBody::Stored(_)));
     let append = |entry: &LogEntry| ConsensusMessage::Append {
         term: 1,
--- a/crates/storage/src/voter.rs
+++ b/crates/storage/src/voter.rs
@@ -128,7 +128,8 @@
     ///
     /// Returns an error if the folder can't be read.
     pub fn read_entries(&self, index: u64, count: usize) -> Result<Vec<LogEntry>, StorageError> {
-        let mut entries = self.node.log().slice(index, count).to_vec();
+        let log = self.node.log();
+        let mut entries: Vec<LogEntry> = log.entries_from(index).take(count).collect();
         for entry in &mut entries {
             if !self.load_command(entry)? {
                 return Err(self.missing(entry.index));
