Keep a few bytes of each log entry's place, and remove segments in order

Cause: the place of an entry took 24 bytes and a start held all entries twice. Segments were removed with one sync of the folder at the end; a crash could bring back an old segment without a newer one whose entries replace its own, and the log after the base was then taken for a diverged one and dropped.

Change: places are relative to runs of entries of one segment and term; a start fills the compact log directly. Each removal of a segment is synced, the oldest first.

--- a/crates/coordination/src/consensus/log.rs
+++ b/crates/coordination/src/consensus/log.rs
@@ -214,7 +214,7 @@
     }
 
     /// Drops the entries after `index`.
-    fn truncate(&mut self, index: u64) {
+    pub fn truncate(&mut self, index: u64) {
         let keep = index.saturating_sub(self.stored.last_index()) as usize;
         let dropped = self.entries.iter().skip(keep);
         self.held_bytes -= dropped.map(held_bytes).sum::<usize>();
--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -92,37 +92,32 @@
         let identity = read_identity(path, new_node)?;
         let snapshots = SnapshotSet::open(path)?;
         let newest = snapshots.read_header(snapshots.newest())?;
-        let mut base = snapshots.read_header(snapshots.oldest())?;
-        let replay = LogReplay::read(path, base.index, newest.index)?;
-        let is_replaced = !replay.agrees_with(&newest);
-        if !is_replaced && replay.has_gap() {
+        let base = snapshots.read_header(snapshots.oldest())?;
+        let replay = LogReplay::read(path, base, newest.index)?;
+        if replay.has_gap() {
             let path = path.to_owned();
             return Err(StorageError::Gap { path });
         }
+        let is_replaced = !replay.agrees_with(&newest);
+        let mut content = FolderContent {
+            vote: replay.vote,
+            log: replay.log,
+            applied: newest.index,
+        };
         let mut folder = Self {
             path: path.to_owned(),
             identity,
             _lock: lock,
             segments: SegmentSet::open(path, replay.segments, replay.vote)?,
             snapshots,
-            places: PlaceTable::new(base.index),
+            places: replay.places,
             recent_bytes: replay.recent_bytes,
             started_bytes: 0,
         };
-        let mut entries = replay.entries;
         if is_replaced {
             folder.replace_log(&newest)?;
-            entries = Vec::new();
-            base = newest.clone();
+            content.log = ReplicatedLog::new(newest, Vec::new());
         }
-        for (entry, place) in entries.iter().zip(replay.places) {
-            folder.places.push(entry.index, entry.term, place);
-        }
-        let content = FolderContent {
-            vote: replay.vote,
-            log: ReplicatedLog::new(base, entries),
-            applied: newest.index,
-        };
         Ok((folder, content))
     }
 
@@ -315,7 +310,7 @@
     /// Replaces the log by a stored snapshot, the newest one.
     ///
     /// The new segment begins with an entry in place of the last one that the snapshot covers,
-    /// which makes recovery drop all earlier entries, whichever of their segments remain.
+    /// which makes recovery drop all earlier entries while their segments remain.
     fn replace_log(&mut self, snapshot: &LogSnapshot) -> Result<(), StorageError> {
         let index = snapshot.index;
         self.snapshots.remove_before(index)?;
--- a/crates/storage/src/places.rs
+++ b/crates/storage/src/places.rs
@@ -1,23 +1,35 @@
-//! Places of the log's entries in its segments.
+//! Places of the log's entries in its segments, in a few bytes each.
 
 /// Place of an entry's command in a segment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) struct EntryPlace {
     /// Number of the segment that holds the entry.
     pub(super) segment: u64,
-    /// Byte offset of the command in the segment, or zero if the entry has none.
+    /// Byte offset in the segment of the command, or of the record if the entry has none.
     pub(super) offset: u64,
     /// Length of the command in bytes, or zero if the entry has none.
     pub(super) length: u32,
 }
 
+/// Entries of the same term in the same segment.
+#[derive(Debug, Clone, Copy)]
+struct PlaceRun {
+    /// Index of the first entry.
+    first: u64,
+    term: u64,
+    segment: u64,
+    /// Offset that those of the entries are relative to.
+    offset: u64,
+}
+
 /// Places and terms of the entries that follow the base of the log.
 #[derive(Debug, Default)]
 pub(super) struct PlaceTable {
     base: u64,
-    places: Vec<EntryPlace>,
-    /// First index of each term, in ascending order. The first one may lie before the base.
-    terms: Vec<(u64, u64)>,
+    /// Relative offset and length of each entry.
+    places: Vec<(u32, u32)>,
+    /// Runs of entries, in ascending order. The first one may begin before the base.
+    runs: Vec<PlaceRun>,
 }
 
 impl PlaceTable {
@@ -41,32 +53,62 @@
 
     /// Returns the place of an entry, or `None` if the table doesn't have it.
     pub(super) fn place(&self, index: u64) -> Option<EntryPlace> {
-        let offset = index.checked_sub(self.base + 1)?;
-        self.places.get(offset as usize).copied()
+        let position = index.checked_sub(self.base + 1)?;
+        let (offset, length) = *self.places.get(position as usize)?;
+        let run = self.run(index)?;
+        Some(EntryPlace {
+            segment: run.segment,
+            offset: run.offset + u64::from(offset),
+            length,
+        })
     }
 
     /// Returns the term of an entry, or `None` if the table doesn't have it.
     pub(super) fn term(&self, index: u64) -> Option<u64> {
         self.place(index)?;
-        let (_, term) = self.terms.iter().rev().find(|(first, _)| *first <= index)?;
-        Some(*term)
+        self.run(index).map(|run| run.term)
     }
 
     /// Returns the segment of the first entry, or `None` if there is no entry.
     pub(super) fn first_segment(&self) -> Option<u64> {
-        self.places.first().map(|place| place.segment)
+        self.place(self.base + 1).map(|place| place.segment)
     }
 
     /// Adds an entry, after dropping all existing ones from its index on.
     ///
     /// The index must be after the base and at most one after the last entry.
     pub(super) fn push(&mut self, index: u64, term: u64, place: EntryPlace) {
-        self.places.truncate((index - self.base - 1) as usize);
-        self.terms.retain(|(first, _)| *first < index);
-        if self.terms.last().is_none_or(|(_, last)| *last != term) {
-            self.terms.push((index, term));
+        self.truncate(index - 1);
+        let EntryPlace {
+            segment,
+            offset,
+            length,
+        } = place;
+        let relative = |run: &PlaceRun| {
+            let is_same = run.term == term && run.segment == segment;
+            let offset = offset.checked_sub(run.offset).filter(|_| is_same)?;
+            u32::try_from(offset).ok()
+        };
+        let relative = self.runs.last().and_then(relative).unwrap_or_else(|| {
+            self.runs.push(PlaceRun {
+                first: index,
+                term,
+                segment,
+                offset,
+            });
+            0
+        });
+        self.places.push((relative, length));
+    }
+
+    /// Drops the entries after `index`.
+    pub(super) fn truncate(&mut self, index: u64) {
+        let count = index.saturating_sub(self.base) as usize;
+        if count < self.places.len() {
+            self.places.truncate(count);
+            let kept = self.runs.partition_point(|run| run.first <= index);
+            self.runs.truncate(kept);
         }
-        self.places.push(place);
     }
 
     /// Drops the entries up to `base`, which becomes the new base.
@@ -74,8 +116,13 @@
         let count = base.saturating_sub(self.base) as usize;
         self.places.drain(..count.min(self.places.len()));
         self.places.shrink_to(self.places.len() * 2);
-        let old = self.terms.partition_point(|(first, _)| *first <= base + 1);
-        self.terms.drain(..old.saturating_sub(1));
+        let begun = self.runs.partition_point(|run| run.first <= base + 1);
+        self.runs.drain(..begun.saturating_sub(1));
         self.base = base;
     }
+
+    fn run(&self, index: u64) -> Option<&PlaceRun> {
+        let begun = self.runs.partition_point(|run| run.first <= index);
+        self.runs.get(begun.checked_sub(1)?)
+    }
 }
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -19,6 +19,7 @@
 use super::error::decode_error;
 use super::error::io_error;
 use super::places::EntryPlace;
+use super::places::PlaceTable;
 use super::record;
 use super::segments::LogRecord;
 use super::segments::SegmentFile;
@@ -26,6 +27,7 @@
 use bergamotlane_coordination::consensus::EntryBody;
 use bergamotlane_coordination::consensus::LogEntry;
 use bergamotlane_coordination::consensus::LogSnapshot;
+use bergamotlane_coordination::consensus::ReplicatedLog;
 use bergamotlane_coordination::consensus::VoteRecord;
 use bergamotlane_wire::codec;
 
@@ -73,7 +75,7 @@
         let EntryBody::Command(command) = &entry.body else {
             return Ok(EntryPlace {
                 segment,
-                offset: 0,
+                offset: payload_offset,
                 length: 0,
             });
         };
@@ -93,33 +95,39 @@
 pub(super) struct LogReplay {
     /// Latest vote.
     pub(super) vote: VoteRecord,
-    /// Entries after the base, without their commands.
-    pub(super) entries: Vec<LogEntry>,
-    /// Place of each of `entries`.
-    pub(super) places: Vec<EntryPlace>,
+    /// Base and the entries after it, without their commands.
+    pub(super) log: ReplicatedLog,
+    /// Place of each entry of the log.
+    pub(super) places: PlaceTable,
     /// Segments that were read, oldest first.
     pub(super) segments: Vec<SegmentFile>,
     /// Size of the records with entries after the newest snapshot, in bytes.
     pub(super) recent_bytes: u64,
-    base: u64,
     newest: u64,
     /// Term of the entry at the base, if the segments hold it.
     base_term: Option<u64>,
+    /// Lowest index of the entries that don't connect to those before, if there are any. They are
+    /// not kept: either earlier entries replace them later on, or the log is damaged.
+    detached: Option<u64>,
 }
 
 impl LogReplay {
-    /// Reads all segments in `folder`. Entries up to `base` are left out; `newest` is the index of
-    /// the newest snapshot.
-    pub(super) fn read(folder: &Path, base: u64, newest: u64) -> Result<Self, StorageError> {
+    /// Reads all segments in `folder`. Entries up to the snapshot `base` are left out; `newest` is
+    /// the index of the newest snapshot.
+    pub(super) fn read(
+        folder: &Path,
+        base: LogSnapshot,
+        newest: u64,
+    ) -> Result<Self, StorageError> {
         let mut replay = Self {
             vote: VoteRecord::default(),
-            entries: Vec::new(),
-            places: Vec::new(),
+            places: PlaceTable::new(base.index),
+            log: ReplicatedLog::new(base, Vec::new()),
             segments: Vec::new(),
             recent_bytes: 0,
-            base,
             newest,
             base_term: None,
+            detached: None,
         };
         let segments = list_segments(folder)?;
         let count = segments.len();
@@ -139,20 +147,15 @@
     /// Otherwise the snapshot came from a leader, and the process stopped before it had removed the
     /// log that the snapshot replaces.
     pub(super) fn agrees_with(&self, snapshot: &LogSnapshot) -> bool {
-        if snapshot.index == self.base {
+        if snapshot.index == self.log.snapshot().index {
             return self.base_term.is_none_or(|term| term == snapshot.term);
         }
-        let found = self
-            .entries
-            .binary_search_by_key(&snapshot.index, |entry| entry.index);
-        found.is_ok_and(|position| self.entries[position].term == snapshot.term)
+        self.log.term_at(snapshot.index) == Some(snapshot.term)
     }
 
     /// Returns whether the indexes of the entries don't continue the base's without a gap.
     pub(super) fn has_gap(&self) -> bool {
-        let mut expected = self.base + 1..;
-        let mut entries = self.entries.iter();
-        entries.any(|entry| expected.next() != Some(entry.index))
+        self.detached.is_some()
     }
 
     /// Reads a log segment and applies its records in order. Returns its size in bytes.
@@ -229,24 +232,25 @@
 
     /// Adds an entry, which replaces all earlier entries with the same or a higher index.
     fn push(&mut self, entry: LogEntry, place: EntryPlace) {
-        while self
-            .entries
-            .last()
-            .is_some_and(|last| last.index >= entry.index)
-        {
-            self.entries.pop();
-            self.places.pop();
+        let (index, base) = (entry.index, self.log.snapshot().index);
+        if index > self.log.last_index() + 1 {
+            let lowest = self.detached.unwrap_or(index);
+            self.detached = Some(lowest.min(index));
+            return;
         }
-        if entry.index <= self.base {
-            self.base_term = (entry.index == self.base).then_some(entry.term);
+        self.detached = None;
+        if index <= base {
+            self.base_term = (index == base).then_some(entry.term);
+            self.log.truncate(base);
+            self.places.truncate(base);
             return;
         }
         let body = match entry.body {
             EntryBody::Command(command) => EntryBody::Stored(command.len() as u32),
             body => body,
         };
-        self.entries.push(LogEntry { body, ..entry });
-        self.places.push(place);
+        self.places.push(index, entry.term, place);
+        self.log.append(vec![LogEntry { body, ..entry }]);
     }
 }
 
--- a/crates/storage/src/segments.rs
+++ b/crates/storage/src/segments.rs
@@ -175,7 +175,9 @@
 
     /// Durably removes the segments before the segment `first`, or all but the current one.
     ///
-    /// The records that replace theirs, and the vote, are made durable before.
+    /// The records that replace theirs, and the vote, are made durable before. The oldest segment
+    /// is durably removed first: if a newer one went before it, entries that the newer one replaces
+    /// would be found again after a crash.
     pub(super) fn remove_before(&mut self, first: Option<u64>) -> Result<(), StorageError> {
         let is_large = self.current.bytes >= self.segment_bytes;
         if first.is_none() && (self.rotate_due || is_large) {
@@ -184,13 +186,11 @@
         self.sync()?;
         let first = first.unwrap_or(self.current.number);
         let count = self.older.partition_point(|file| file.number < first);
-        if count == 0 {
-            return Ok(());
-        }
         for file in self.older.drain(..count) {
             fs::remove_file(&file.path).map_err(io_error("remove", &file.path))?;
+            sync_parent(&file.path).map_err(io_error("sync", &self.folder))?;
         }
-        sync_parent(&self.current.path).map_err(io_error("sync", &self.folder))
+        Ok(())
     }
 
     /// Reads `length` bytes at `offset` into the command at `place`.
