--- a/crates/coordination/src/consensus/election.rs
+++ b/crates/coordination/src/consensus/election.rs
@@ -9,7 +9,7 @@
 use super::message::EntryBody;
 use super::message::VoteRecord;
 use super::node::ConsensusNode;
-use super::node::ConsensusOutput;
+use super::output::ConsensusOutput;
 use super::role::NodeRole;
 use super::role::RoleEvent;
 use crate::clock::ClockTime;
--- a/crates/coordination/src/consensus/replication.rs
+++ b/crates/coordination/src/consensus/replication.rs
@@ -9,7 +9,7 @@
 use super::message::ConsensusMessage;
 use super::message::EntryBody;
 use super::node::ConsensusNode;
-use super::node::ConsensusOutput;
+use super::output::ConsensusOutput;
 use super::role::RoleEvent;
 use crate::clock::ClockTime;
 use crate::ident::NodeId;
