--- a/crates/coordination/src/consensus/mod.rs
+++ b/crates/coordination/src/consensus/mod.rs
@@ -23,9 +23,11 @@
 mod membership;
 mod message;
 mod node;
+mod output;
 mod proposal;
 mod replication;
 mod role;
+mod stored;
 
 #[cfg(test)]
 mod tests;
@@ -40,8 +42,8 @@
 pub use message::EntryBody;
 pub use message::VoteRecord;
 pub use node::ConsensusConfig;
-pub use node::ConsensusError;
 pub use node::ConsensusNode;
-pub use node::ConsensusOutput;
 pub use node::NodeStart;
+pub use output::ConsensusError;
+pub use output::ConsensusOutput;
 pub use role::NodeRole;
--- a/crates/coordination/src/consensus/proposal.rs
+++ b/crates/coordination/src/consensus/proposal.rs
@@ -8,9 +8,9 @@
 use super::membership::GroupMembership;
 use super::message::ConsensusMessage;
 use super::message::EntryBody;
-use super::node::ConsensusError;
 use super::node::ConsensusNode;
-use super::node::ConsensusOutput;
+use super::output::ConsensusError;
+use super::output::ConsensusOutput;
 use super::role::NodeRole;
 use crate::clock::ClockTime;
 use crate::ident::NodeId;
@@ -111,8 +111,8 @@
         index <= self.applied && self.log.compact(index)
     }
 
-    /// Drops the oldest commands of the log from memory until at most `keep_bytes` bytes of
-    /// commands remain. Commands that aren't known to be durable on this node are kept.
+    /// Drops the oldest commands of the log from memory until the rest, with their entries, take
+    /// at most `keep_bytes` bytes. Commands that aren't known to be durable on this node are kept.
     pub fn evict_commands(&mut self, keep_bytes: usize) {
         self.log.evict_commands(self.synced, keep_bytes);
     }
--- a/crates/storage/src/voter.rs
+++ b/crates/storage/src/voter.rs
@@ -50,8 +50,8 @@
     pub folder: DataFolder,
     /// When to take the next snapshot; set by the owner of the node.
     pub snapshots: SnapshotThresholds,
-    /// Size of the youngest commands that are kept in memory, in bytes; set by the owner of the
-    /// node. Older ones are read from the folder when they are needed.
+    /// Size of the youngest entries that are kept in memory with their commands, in bytes; set by
+    /// the owner of the node. Older commands are read from the folder when they are needed.
     pub log_tail_bytes: usize,
 }
 
@@ -128,7 +128,8 @@
     ///
     /// Returns an error if the folder can't be read.
     pub fn read_entries(&self, index: u64, count: usize) -> Result<Vec<LogEntry>, StorageError> {
-        let mut entries = self.node.log().slice(index, count).to_vec();
+        let log = self.node.log();
+        let mut entries: Vec<LogEntry> = log.entries_from(index).take(count).collect();
         for entry in &mut entries {
             if !self.load_command(entry)? {
                 return Err(self.missing(entry.index));
