Count the age of jobs over restarts of a keeper

What callers would see: after restarts, jobs are kept for a full retention again, by each keeper that leads next; with keepers that restart every two minutes no job is ever forgotten, the log is never released, and new jobs are refused once the disk's share is full. Cause: a job's retention counts from the time at which this run of the process first saw it. The age that is known is never more than the true one, so nothing is forgotten early; an older build ignores the field.

--- a/crates/service/src/keeper/admit.rs
+++ b/crates/service/src/keeper/admit.rs
@@ -41,7 +41,7 @@
         let digest = blake3::hash(submission.id.as_bytes());
         // The hash of the job ID spreads jobs over the services of a traffic split.
         let split_point = f64::from(digest.as_bytes()[0]) / 256.0;
-        let first_seen = self.first_seen_at.get(job).copied().unwrap_or_else(now);
+        let first_seen = self.ages.first_seen_at(job).unwrap_or_else(now);
         Some(JobConstraints {
             due: first_seen + route.result_deadline_ms,
             expires: first_seen + route.item_ttl_ms,
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -1,7 +1,6 @@
 //! State and event loop of the control thread.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
@@ -19,6 +18,7 @@
 use super::snapshots::thresholds_of;
 use super::submissions::SubmissionGate;
 use super::targets::load_targets;
+use crate::ages::JobAges;
 use crate::budget::ResourceBudget;
 use crate::dialect::TargetDialect;
 use crate::directory::GroupMembers;
@@ -130,8 +130,7 @@
     pub(super) state: ServiceState,
     /// Index of the plan in force, if any.
     pub(super) routes: Option<Arc<RouteIndex>>,
-    /// Time at which this keeper first saw each job, by job ID.
-    pub(super) first_seen_at: HashMap<String, ClockTime>,
+    pub(super) ages: JobAges,
     /// Open links, each with the peer's introduction and whether this process dialled it.
     pub(super) links: BTreeMap<LinkId, (HelloFrame, bool)>,
     /// Known keepers, from which those to link to are chosen.
@@ -252,7 +251,7 @@
             outputs: Vec::new(),
             state: ServiceState::default(),
             routes: None,
-            first_seen_at: HashMap::new(),
+            ages: JobAges::default(),
             links: BTreeMap::new(),
             directory,
             prune_due: time,
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -395,8 +395,8 @@
             .iter()
             .filter(|(id, job)| job.is_settled() || !lead.scheduler.contains(id))
             .filter(|(id, _)| {
-                let first_seen = self.first_seen_at.get(*id);
-                first_seen.is_some_and(|at| time.since(*at) > retention_ms)
+                let age_ms = self.ages.age_ms(time, id);
+                age_ms.is_some_and(|it| it > retention_ms)
             })
             .map(|(id, _)| id.clone())
             .collect();
--- a/crates/service/src/keeper/outputs.rs
+++ b/crates/service/src/keeper/outputs.rs
@@ -60,8 +60,10 @@
         self.state.adopt(snapshot.index);
         self.index_plan();
         let time = now();
+        let ages_ms = std::mem::take(&mut self.state.ages_ms);
         for (id, _) in self.state.jobs.iter() {
-            self.first_seen_at.entry(id.clone()).or_insert(time);
+            let earlier_ms = ages_ms.get(id).copied().unwrap_or_default();
+            self.ages.record(time, id, earlier_ms);
         }
     }
 
@@ -179,13 +181,11 @@
 
     fn apply_command(&mut self, index: u64, command: StateCommand) {
         if let StateCommand::Submit(submission) = &command {
-            self.first_seen_at
-                .entry(submission.id.clone())
-                .or_insert(now());
+            self.ages.record(now(), &submission.id, 0);
         }
         if let StateCommand::ForgetJobs(jobs) = &command {
             for job in jobs {
-                self.first_seen_at.remove(job);
+                self.ages.remove(job);
             }
             self.request_release();
         }
--- a/crates/service/src/keeper/snapshots.rs
+++ b/crates/service/src/keeper/snapshots.rs
@@ -91,11 +91,11 @@
         let Some(writer) = voter.start_snapshot(self.state.index) else {
             return;
         };
-        let (state, events, folder) = (
-            self.state.clone(),
-            self.events.clone(),
-            self.snapshot.folder,
-        );
+        let state = ServiceState {
+            ages_ms: self.ages.all(time),
+            ..self.state.clone()
+        };
+        let (events, folder) = (self.events.clone(), self.snapshot.folder);
         let spawned = thread::Builder::new()
             .name("snapshot".to_owned())
             .spawn(move || {
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -149,9 +149,9 @@
             .lead
             .as_ref()
             .map_or(0, |it| it.scheduler.waiting_of(job));
-        let first_seen = self.first_seen_at.get(job).filter(|_| waiting == 0);
+        let first_seen = self.ages.first_seen_at(job).filter(|_| waiting == 0);
         if let Some(first_seen) = first_seen {
-            spdlog::info!("job: all items at engines", kv: { job, after_ms = time.since(*first_seen) });
+            spdlog::info!("job: all items at engines", kv: { job, after_ms = time.since(first_seen) });
         }
     }
 
@@ -160,7 +160,8 @@
         let (Some(record), Some(lead)) = (self.state.jobs.get(job), &self.lead) else {
             return;
         };
-        let age = self.first_seen_at.get(job).map_or(0, |it| now().since(*it));
+        let time = now();
+        let age = self.ages.first_seen_at(job).map_or(0, |it| time.since(it));
         spdlog::info!("job: ended by its caller", kv: {
             job,
             after_ms = age,
--- a/crates/service/src/state.rs
+++ b/crates/service/src/state.rs
@@ -139,6 +139,10 @@
     /// Builds that began the latest streams.
     #[serde(default)]
     pub streams: StreamTable,
+    /// Age of each job when the snapshot that holds this state was taken, in milliseconds, as the
+    /// keeper that took it knew; empty in a state that is applied to.
+    #[serde(default)]
+    pub ages_ms: BTreeMap<String, u64>,
 }
 
 impl ServiceState {
