Don't tell a reader without room that there is no result

What callers saw: a read of a job that had results could come back without any, where at least one must come if one exists, while frames for other links took all of the room. Cause: a reader whose wait was over got a page without results. Change: such a reader is told that the keeper can't answer, and asks again within its time. Conclusion: an empty page says that nothing is listed from that position on.

--- a/crates/service/src/keeper/results.rs
+++ b/crates/service/src/keeper/results.rs
@@ -53,7 +53,11 @@
         }
         let waiters = self.lead.as_mut().map(|it| &mut it.waiters);
         let Some(waiters) = waiters.filter(|it| it.len() < MAX_WAITERS) else {
-            self.reply(origin, empty);
+            let reply = match has_no_result {
+                true => empty,
+                false => LeaderReply::NotLeader,
+            };
+            self.reply(origin, reply);
             return;
         };
         let limit_ms = match has_no_result {
@@ -98,17 +102,16 @@
         };
         let room_bytes = self.result_room(&waiter.origin);
         let count = page_length(record, waiter.after, room_bytes);
-        let is_over = now() >= waiter.deadline;
-        match count.or(is_over.then_some(0)) {
-            Some(count) => {
-                let page = self.read_page(&waiter.job, waiter.after, count);
-                self.reply(waiter.origin, page);
-            }
-            None => {
-                waiter.lacks_room = true;
-                if let Some(lead) = &mut self.lead {
-                    lead.waiters.push(waiter);
-                }
+        if let Some(count) = count {
+            let page = self.read_page(&waiter.job, waiter.after, count);
+            self.reply(waiter.origin, page);
+        } else if now() >= waiter.deadline {
+            // A page without results would say that there are none.
+            self.reply(waiter.origin, LeaderReply::NotLeader);
+        } else {
+            waiter.lacks_room = true;
+            if let Some(lead) = &mut self.lead {
+                lead.waiters.push(waiter);
             }
         }
     }
--- a/crates/service/tests/targets/readers.rs
+++ b/crates/service/tests/targets/readers.rs
@@ -187,3 +187,53 @@
     }
     assert!(most <= share + 2 * TEXT_BYTES, "{most} of {share}");
 }
+
+/// Guards against readers that are told of no result although there are some, while frames for other
+/// links, such as those that fill in a voter, take all of the room.
+#[tokio::test]
+async fn a_reader_without_room_is_not_told_that_there_is_no_result() {
+    let limits = ResourceLimits {
+        memory_bytes: Some(64_000_000),
+        disk_bytes: None,
+    };
+    let data = TempDir::new().unwrap();
+    let (handle, hub) = start_single(&data, limits);
+    assert_eq!(call(&handle, submit("job", 1)).await, LeaderReply::Done);
+    let result = ItemResult {
+        item: 0,
+        end: ItemEnd::Completed,
+        text: Bytes::from(vec![b'x'; 100]).into(),
+        versions: vec![1],
+        score: None,
+    };
+    let list = StateCommand::List(vec![("job".to_owned(), result)]);
+    let reply = call(&handle, LeaderCall::Change(list)).await;
+    assert_eq!(reply, LeaderReply::Done);
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(Arc::clone(&hub).listen(listener));
+    let mut reader = dial(address, 101).await;
+    while hub.load().0 < 1 {
+        tokio::task::yield_now().await;
+    }
+    let _silent = dial(address, 100).await;
+    while hub.load().0 < 2 {
+        tokio::task::yield_now().await;
+    }
+    let share = ResourceBudget::for_keeper(limits).unwrap().replies_bytes as usize;
+    let link = bergamotlane_service::link::LinkId(2);
+    assert!(hub.send_encoded(link, Bytes::from(vec![7; 2 * share])));
+    let ask = LinkFrame::Call {
+        id: 7,
+        call: read("job"),
+    };
+    send(&mut reader, &ask).await;
+    let reply = loop {
+        if let LinkFrame::Reply { id: 7, reply } = next_frame(&mut reader).await {
+            break reply;
+        }
+    };
+    if let LeaderReply::Results { results, .. } = &reply {
+        assert_eq!(results.len(), 1, "{reply:?}");
+    }
+}
