--- a/crates/service/tests/link.rs
+++ b/crates/service/tests/link.rs
@@ -337,3 +337,35 @@
         CallResult::Answered(LeaderReply::Conflict)
     ));
 }
+
+/// Guards against one peer that sends a long frame slowly, or is frozen within it, and keeps the long
+/// frames of all other peers from being received.
+#[tokio::test]
+async fn an_unfinished_frame_does_not_hold_up_those_of_other_peers() {
+    let budget = LinkBudget {
+        inbound_bytes: 64 * FRAME_BYTES,
+        ..LinkBudget::default()
+    };
+    let mut peers = silent_peers(2, budget).await;
+    let mut sockets = std::mem::take(&mut peers.sockets);
+    send_parts(&mut sockets[0], 1).await;
+    while peers.hub.received_bytes() == 0 {
+        tokio::task::yield_now().await;
+    }
+    let body = Bytes::from(vec![7; PART_BYTES]);
+    let reply = LeaderReply::Document(body);
+    let frame = codec::encode(&LinkFrame::Reply { id: 1, reply });
+    let (first, last) = frame.split_at(PART_BYTES);
+    for (tag, part) in [(1, first), (0, last)] {
+        let message = [&[tag], part].concat();
+        sockets[1]
+            .send(Message::Binary(message.into()))
+            .await
+            .unwrap();
+    }
+    let event = next_event(&mut peers).await;
+    assert!(
+        matches!(event, LinkEvent::Frame(link, ..) if link == peers.links[1]),
+        "{event:?}"
+    );
+}
