List a folder that can't be opened after its writes reached the disk out of order

Found by the review, as it was before this work: two records that were appended and not synced, of which power loss keeps the second alone, look like damage in the middle of the log.

--- a/crates/storage/src/tests/crashes.rs
+++ b/crates/storage/src/tests/crashes.rs
@@ -111,3 +111,23 @@
         trial.reopen();
     }
 }
+
+/// After a loss of power each write since the last sync may be missing on its own. A folder whose
+/// earlier unsynced record was missing could never be opened again.
+#[test]
+fn an_unsynced_record_that_is_missing_before_another_one_is_dropped_with_it() {
+    let (folder, segment) = small_log();
+    let synced = fs::metadata(&segment).unwrap().len() as usize;
+    let (mut data, _) = open(folder.path()).unwrap();
+    data.save(&ConsensusOutput::AppendEntries(vec![entry(6, 2)]))
+        .unwrap();
+    let first = fs::metadata(&segment).unwrap().len() as usize;
+    data.save(&ConsensusOutput::AppendEntries(vec![entry(7, 2)]))
+        .unwrap();
+    drop(data);
+    let mut bytes = fs::read(&segment).unwrap();
+    bytes[synced..first].fill(0);
+    fs::write(&segment, bytes).unwrap();
+    let (data, content) = open(folder.path()).unwrap();
+    assert_eq!(entries_of(&data, &content).len(), 5);
+}
