Write all records of a sync at once, and sync what an earlier process wrote

What could happen: after power loss a keeper whose earlier unsynced write is missing, while a later one is there, takes its log for damaged and never starts again; and a keeper that was killed between a write and its sync takes the record for durable after the restart. Cause: each output was written by itself, and a start did not sync. Change: records are gathered and written at once before the sync; opening a folder syncs its log. The second is read in the code. Conclusion: at most the last write can be torn or missing.

--- a/crates/storage/src/segments.rs
+++ b/crates/storage/src/segments.rs
@@ -58,13 +58,6 @@
     pub(super) payload: Bytes,
 }
 
-impl AppendedRecord {
-    /// Returns the size of the record in bytes.
-    pub(super) fn bytes(&self) -> u64 {
-        (record::HEADER_BYTES + self.payload.len()) as u64
-    }
-}
-
 /// All segments of a log; records are appended to the last one.
 #[derive(Debug)]
 pub(super) struct SegmentSet {
@@ -74,8 +67,9 @@
     file: File,
     /// Copied into each new segment, since the old ones are removed.
     vote: VoteRecord,
-    /// Whether the current segment has records that aren't synced yet.
-    unsynced: bool,
+    /// Records that aren't written yet. They are written at once, so that no record can be lost before
+    /// one that is kept.
+    pending: Vec<u8>,
     /// Whether the next record begins a new segment.
     rotate_due: bool,
     segment_bytes: u64,
@@ -100,10 +94,12 @@
             file: open_segment(&current.path)?,
             current,
             vote,
-            unsynced: false,
+            pending: Vec::new(),
             rotate_due: false,
             segment_bytes: SEGMENT_BYTES,
         };
+        // An earlier process may have written records without syncing them.
+        segments.sync_file()?;
         // A crash may have left a new segment without its vote.
         if segments.current.bytes == 0 && !segments.older.is_empty() {
             segments.append_vote()?;
@@ -163,14 +159,21 @@
 
     /// Makes all records durable.
     pub(super) fn sync(&mut self) -> Result<(), StorageError> {
-        if !self.unsynced {
+        if self.pending.is_empty() {
             return Ok(());
         }
+        self.file
+            .write_all(&self.pending)
+            .map_err(io_error("append to", &self.current.path))?;
+        // A large batch should not be held until the next one.
+        self.pending = Vec::new();
+        self.sync_file()
+    }
+
+    fn sync_file(&self) -> Result<(), StorageError> {
         self.file
             .sync_data()
-            .map_err(io_error("sync", &self.current.path))?;
-        self.unsynced = false;
-        Ok(())
+            .map_err(io_error("sync", &self.current.path))
     }
 
     /// Durably removes the segments before the segment `first`, or all but the current one.
@@ -216,12 +219,9 @@
     fn append(&mut self, record: &LogRecord) -> Result<AppendedRecord, StorageError> {
         let payload = codec::encode(record);
         let framed = record::frame(&payload);
-        self.file
-            .write_all(&framed)
-            .map_err(io_error("append to", &self.current.path))?;
         let offset = self.current.bytes + record::HEADER_BYTES as u64;
         self.current.bytes += framed.len() as u64;
-        self.unsynced = true;
+        self.pending.extend_from_slice(&framed);
         Ok(AppendedRecord {
             segment: self.current.number,
             offset,
