--- a/crates/storage/src/folder.rs
+++ b/crates/storage/src/folder.rs
@@ -69,10 +69,9 @@
     segments: SegmentSet,
     snapshots: SnapshotSet,
     places: PlaceTable,
-    /// Size of the entries' records since the newest snapshot, in bytes.
+    /// Size of the commands after the newest snapshot, in bytes; those that were replaced since it was
+    /// counted are included.
     recent_bytes: u64,
-    /// The same size when the snapshot that is being written was started.
-    started_bytes: u64,
 }
 
 impl DataFolder {
@@ -93,7 +92,7 @@
         let snapshots = SnapshotSet::open(path)?;
         let newest = snapshots.read_header(snapshots.newest())?;
         let base = snapshots.read_header(snapshots.oldest())?;
-        let replay = LogReplay::read(path, base, newest.index)?;
+        let replay = LogReplay::read(path, base)?;
         if replay.has_gap() {
             let path = path.to_owned();
             return Err(StorageError::Gap { path });
@@ -111,9 +110,9 @@
             segments: SegmentSet::open(path, replay.segments, replay.vote)?,
             snapshots,
             places: replay.places,
-            recent_bytes: replay.recent_bytes,
-            started_bytes: 0,
+            recent_bytes: 0,
         };
+        folder.count_recent();
         if is_replaced {
             folder.replace_log(&newest)?;
             content.log = ReplicatedLog::new(newest, Vec::new());
@@ -141,9 +140,13 @@
         self.segments.bytes() + self.snapshots.bytes()
     }
 
-    /// Returns the size of the entries since the newest snapshot, in bytes on disk.
-    pub fn recent_bytes(&self) -> u64 {
-        self.recent_bytes
+    /// Returns the size of the commands after the newest snapshot up to the entry at `end`, in bytes,
+    /// or zero while no more than `limit_bytes` have been added since.
+    pub(super) fn uncovered_bytes(&self, end: u64, limit_bytes: u64) -> u64 {
+        match self.recent_bytes > limit_bytes {
+            true => self.places.command_bytes(self.newest_snapshot(), end),
+            false => 0,
+        }
     }
 
     /// Returns the index of the last stored entry, or that of the base if no entry follows it.
@@ -234,7 +237,6 @@
     /// stored one is as new.
     pub fn start_snapshot(&mut self, snapshot: LogSnapshot) -> Option<SnapshotWriter> {
         let writer = self.snapshots.start(snapshot)?;
-        self.started_bytes = self.recent_bytes;
         // The entries that the snapshot covers can be removed without those that follow.
         self.segments.rotate_later();
         Some(writer)
@@ -243,7 +245,7 @@
     /// Adds a snapshot that was written, unless another one has replaced the log meanwhile.
     pub fn finish_snapshot(&mut self, written: WrittenSnapshot) {
         if self.snapshots.finish(written) {
-            self.recent_bytes -= self.started_bytes;
+            self.count_recent();
         }
     }
 
@@ -280,6 +282,11 @@
         self.segments.set_segment_bytes(bytes);
     }
 
+    fn count_recent(&mut self) {
+        let (newest, last) = (self.newest_snapshot(), self.places.last_index());
+        self.recent_bytes = self.places.command_bytes(newest, last);
+    }
+
     fn append(&mut self, entries: &[LogEntry]) -> Result<(), StorageError> {
         let wires = entries.iter().map(LogEntryWire::from).collect();
         let appended = self.segments.append_entries(wires)?;
@@ -292,7 +299,8 @@
         for (entry, place) in entries.iter().zip(places) {
             self.places.push(entry.index, entry.term, place);
         }
-        self.recent_bytes += appended.bytes();
+        let last = self.places.last_index();
+        self.recent_bytes += self.places.command_bytes(last - entries.len() as u64, last);
         Ok(())
     }
 
--- a/crates/storage/src/places.rs
+++ b/crates/storage/src/places.rs
@@ -74,6 +74,14 @@
         self.place(self.base + 1).map(|place| place.segment)
     }
 
+    /// Returns the size of the commands of the entries after `start`, up to `end`, in bytes.
+    pub(super) fn command_bytes(&self, start: u64, end: u64) -> u64 {
+        let count = end.saturating_sub(self.base) as usize;
+        let places = self.places.iter().take(count);
+        let places = places.skip(start.saturating_sub(self.base) as usize);
+        places.map(|(_, length)| u64::from(*length)).sum()
+    }
+
     /// Adds an entry, after dropping all existing ones from its index on.
     ///
     /// The index must be after the base and at most one after the last entry.
--- a/crates/storage/src/recovery.rs
+++ b/crates/storage/src/recovery.rs
@@ -101,9 +101,6 @@
     pub(super) places: PlaceTable,
     /// Segments that were read, oldest first.
     pub(super) segments: Vec<SegmentFile>,
-    /// Size of the records with entries after the newest snapshot, in bytes.
-    pub(super) recent_bytes: u64,
-    newest: u64,
     /// Term of the entry at the base, if the segments hold it.
     base_term: Option<u64>,
     /// Lowest index of the entries that don't connect to those before, if there are any. They are
@@ -112,20 +109,13 @@
 }
 
 impl LogReplay {
-    /// Reads all segments in `folder`. Entries up to the snapshot `base` are left out; `newest` is
-    /// the index of the newest snapshot.
-    pub(super) fn read(
-        folder: &Path,
-        base: LogSnapshot,
-        newest: u64,
-    ) -> Result<Self, StorageError> {
+    /// Reads all segments in `folder`. Entries up to the snapshot `base` are left out.
+    pub(super) fn read(folder: &Path, base: LogSnapshot) -> Result<Self, StorageError> {
         let mut replay = Self {
             vote: VoteRecord::default(),
             places: PlaceTable::new(base.index),
             log: ReplicatedLog::new(base, Vec::new()),
             segments: Vec::new(),
-            recent_bytes: 0,
-            newest,
             base_term: None,
             detached: None,
         };
@@ -221,9 +211,6 @@
             path: path.to_owned(),
             offset: offset as usize,
         })?;
-        if entries.iter().any(|entry| entry.index > self.newest) {
-            self.recent_bytes += (record::HEADER_BYTES + payload.len()) as u64;
-        }
         for (entry, place) in entries.into_iter().zip(places) {
             self.push(entry, place);
         }
--- a/crates/storage/src/tests/crashes.rs
+++ b/crates/storage/src/tests/crashes.rs
@@ -131,3 +131,17 @@
     let (data, content) = open(folder.path()).unwrap();
     assert_eq!(entries_of(&data, &content).len(), 5);
 }
+
+/// Guards against a start that takes a snapshot of the first applied entry, counts the rest of the log as
+/// covered, and does the same again at the next start.
+#[test]
+fn entries_after_a_snapshot_count_as_much_before_a_restart_as_after_it() {
+    let (folder, _) = small_log();
+    let (mut data, content) = open(folder.path()).unwrap();
+    take_snapshot(&mut data, &content.log, 1, b"state");
+    let before = data.uncovered_bytes(u64::MAX, 0);
+    assert!(before > 0);
+    drop(data);
+    let (data, _) = open(folder.path()).unwrap();
+    assert_eq!(before, data.uncovered_bytes(u64::MAX, 0));
+}
--- a/crates/storage/src/voter.rs
+++ b/crates/storage/src/voter.rs
@@ -149,13 +149,14 @@
         snapshot.ok_or_else(|| self.missing(newest))
     }
 
-    /// Returns whether the log since the newest snapshot has exceeded a threshold of
+    /// Returns whether the applied entries since the newest snapshot have exceeded a threshold of
     /// [`Self::snapshots`], and no snapshot is being written.
     pub fn needs_snapshot(&self) -> bool {
-        let last = self.node.log().last_index();
-        let entries = last.saturating_sub(self.folder.newest_snapshot());
-        let is_large = self.folder.recent_bytes() > self.snapshots.log_bytes;
-        let is_due = entries > self.snapshots.entries || (is_large && entries > 0);
+        let applied = self.node.applied_index();
+        let entries = applied.saturating_sub(self.folder.newest_snapshot());
+        let limit_bytes = self.snapshots.log_bytes;
+        let is_large = || self.folder.uncovered_bytes(applied, limit_bytes) > limit_bytes;
+        let is_due = entries > self.snapshots.entries || is_large();
         is_due && !self.folder.is_writing_snapshot()
     }
 
