--- a/crates/service/src/ages.rs
+++ b/crates/service/src/ages.rs
@@ -42,6 +42,11 @@
         self.jobs.remove(job);
     }
 
+    /// Forgets the jobs that are not in the state.
+    pub fn retain(&mut self, is_known: impl Fn(&str) -> bool) {
+        self.jobs.retain(|id, _| is_known(id));
+    }
+
     /// Returns when this process first saw a job, if it has.
     pub fn first_seen_at(&self, job: &str) -> Option<ClockTime> {
         self.jobs.get(job).map(|it| it.first_seen_at)
--- a/crates/service/src/keeper/outputs.rs
+++ b/crates/service/src/keeper/outputs.rs
@@ -61,6 +61,7 @@
         self.index_plan();
         let time = now();
         let ages_ms = std::mem::take(&mut self.state.ages_ms);
+        self.ages.retain(|id| self.state.jobs.get(id).is_some());
         for (id, _) in self.state.jobs.iter() {
             let earlier_ms = ages_ms.get(id).copied().unwrap_or_default();
             self.ages.record(time, id, earlier_ms);
--- a/crates/service/src/keeper/results.rs
+++ b/crates/service/src/keeper/results.rs
@@ -16,6 +16,9 @@
 /// Limit for the text bytes of one reply; a single larger result is still returned.
 const MAX_RESULTS_BYTES: usize = 700 * 1024;
 
+/// Room that a reader has whatever waits for others, such as the log for a voter, in bytes.
+const MIN_RESULTS_BYTES: usize = 32 * 1024;
+
 /// Limit for what waits on a link together with the results that are added, in bytes.
 const MAX_LINK_BYTES: usize = 2 * MAX_RESULTS_BYTES;
 
@@ -140,8 +143,8 @@
         let share = self.budget.replies_bytes as usize;
         let link_bytes = self.hub.queued_bytes(*link);
         let room_bytes = MAX_LINK_BYTES.saturating_sub(link_bytes);
-        let room_bytes = room_bytes.min(share.saturating_sub(all_bytes));
-        room_bytes.min(MAX_RESULTS_BYTES)
+        let left_bytes = share.saturating_sub(all_bytes).max(MIN_RESULTS_BYTES);
+        room_bytes.min(left_bytes).min(MAX_RESULTS_BYTES)
     }
 }
 
--- a/crates/service/src/keeper/snapshots.rs
+++ b/crates/service/src/keeper/snapshots.rs
@@ -99,7 +99,7 @@
         let spawned = thread::Builder::new()
             .name("snapshot".to_owned())
             .spawn(move || {
-                let written = write_snapshot(&state, writer);
+                let written = write_snapshot(state, writer);
                 // The control thread runs until the process exits.
                 let event = KeeperEvent::SnapshotWritten { folder, written };
                 events.send(event).ok();
@@ -215,11 +215,13 @@
 
 /// Encodes the state and writes it as a snapshot.
 fn write_snapshot(
-    state: &ServiceState,
+    state: ServiceState,
     writer: SnapshotWriter,
 ) -> Result<WrittenSnapshot, StorageError> {
     let started = now();
-    let (index, data) = (writer.index(), codec::encode(state));
+    let (index, data) = (writer.index(), codec::encode(&state));
+    // A job that changes while this copy lives is copied, and a disk may take long.
+    drop(state);
     let written = writer.write(&data)?;
     spdlog::info!("storage: snapshot written", kv: {
         index,
