--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -24,7 +24,6 @@
 use crate::schedule::ItemScheduler;
 use crate::scoring::ScoreKey;
 use crate::scoring::ScoreQueue;
-use crate::state::StateCommand;
 use crate::texts::TextKey;
 use crate::weights::WeightPlanner;
 use crate::work::RunKey;
@@ -47,13 +46,6 @@
 /// Interval at which the pace of runs is checked and gauges are updated, in milliseconds.
 const PACE_INTERVAL_MS: u64 = 200;
 
-/// Interval of the search for jobs whose retention is over, in milliseconds.
-const FORGET_INTERVAL_MS: u64 = 5_000;
-
-/// Time for which a job is kept after callers can no longer read it, in milliseconds. A caller may
-/// count from the answer to its submission, which comes later than the job itself.
-const FORGET_MARGIN_MS: u64 = 5_000;
-
 /// A caller that waits for further results of a job.
 #[derive(Debug)]
 pub(super) struct ResultWaiter {
@@ -124,7 +116,7 @@
     duties_due: ClockTime,
     weights_due: ClockTime,
     pace_due: ClockTime,
-    forget_due: ClockTime,
+    pub(super) forget_due: ClockTime,
 }
 
 impl<D: TargetDialect> KeeperCore<D> {
@@ -377,31 +369,4 @@
             }
         }
     }
-
-    /// Proposes to drop jobs whose retention is over, unless their items still run. A job that no
-    /// route matches has none that do.
-    fn forget_jobs(&mut self, time: ClockTime) {
-        let Some(lead) = &mut self.lead else {
-            return;
-        };
-        if time < lead.forget_due {
-            return;
-        }
-        lead.forget_due = time + FORGET_INTERVAL_MS;
-        let retention_ms = self.settings.job_retention_ms + FORGET_MARGIN_MS;
-        let expired: Vec<String> = self
-            .state
-            .jobs
-            .iter()
-            .filter(|(id, job)| job.is_settled() || !lead.scheduler.contains(id))
-            .filter(|(id, _)| {
-                let age_ms = self.ages.age_ms(time, id);
-                age_ms.is_some_and(|it| it > retention_ms)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
-        if !expired.is_empty() {
-            self.propose(&StateCommand::ForgetJobs(expired), CallOrigin::Leader);
-        }
-    }
 }
--- a/crates/service/src/keeper/mod.rs
+++ b/crates/service/src/keeper/mod.rs
@@ -21,6 +21,7 @@
 mod peers;
 mod repair;
 mod results;
+mod retention;
 mod scoring;
 mod snapshots;
 mod submissions;
--- a/crates/service/tests/targets/kept.rs
+++ b/crates/service/tests/targets/kept.rs
@@ -65,6 +65,15 @@
 /// Number of looks at the data folder until something must have happened.
 const MAX_LOOKS: usize = 600;
 
+/// Copies a data folder, since a keeper holds the lock of its own until the process ends.
+fn copy_folder(data: &Path) -> TempDir {
+    let copy = TempDir::new().unwrap();
+    for (name, _) in files(data) {
+        fs::copy(data.join(&name), copy.path().join(&name)).unwrap();
+    }
+    copy
+}
+
 /// Starts the only keeper of a group.
 fn start_single(data: &Path, retention_ms: u64) -> KeeperHandle {
     let link: SocketAddr = "127.0.0.1:1".parse().unwrap();
@@ -227,12 +236,8 @@
         check_job(&keeper, job).await;
     }
 
-    // The first keeper holds the lock of its folder until the process ends.
-    let copy = TempDir::new().unwrap();
-    for (name, _) in files(data.path()) {
-        fs::copy(data.path().join(&name), copy.path().join(&name)).unwrap();
-    }
-    let keeper = start_single(copy.path(), 0);
+    let copy = copy_folder(data.path());
+    let keeper = start_single(copy.path(), 600_000);
     for job in 0..JOB_COUNT {
         check_job(&keeper, job).await;
         // No route matches the jobs, so that those that nobody ends don't run either.
@@ -244,7 +249,9 @@
             assert_eq!(call(&keeper, end).await, LeaderReply::Done);
         }
     }
+    let copy = copy_folder(copy.path());
     let before = disk_bytes(copy.path());
+    let _keeper = start_single(copy.path(), 0);
     wait_until("release", || disk_bytes(copy.path()) < before / 2).await;
 }
 
--- a/crates/service/tests/targets/readers.rs
+++ b/crates/service/tests/targets/readers.rs
@@ -111,7 +111,7 @@
     }
 }
 
-/// Makes all calls, reads nothing before `begin`, and repeats those that were answered without the text.
+/// Makes all calls, reads nothing before `begin`, and repeats those that the keeper could not answer.
 async fn read_all(mut socket: Socket, mut begin: watch::Receiver<bool>) {
     for id in 0..CALLS {
         let call = read("job");
@@ -123,18 +123,16 @@
         let LinkFrame::Reply { id, reply } = next_frame(&mut socket).await else {
             continue;
         };
-        let LeaderReply::Results { next, results, .. } = reply else {
-            panic!("{reply:?}");
-        };
-        match results.first() {
-            Some(result) => {
-                assert_eq!((result.text.len(), next), (TEXT_BYTES, 1));
+        match reply {
+            LeaderReply::Results { next, results, .. } => {
+                assert_eq!((results[0].text.len(), next), (TEXT_BYTES, 1));
                 texts += 1;
             }
-            None => {
+            LeaderReply::NotLeader => {
                 let call = read("job");
                 send(&mut socket, &LinkFrame::Call { id, call }).await;
             }
+            other => panic!("{other:?}"),
         }
     }
 }
