--- a/crates/service/tests/targets/relay.rs
+++ b/crates/service/tests/targets/relay.rs
@@ -144,7 +144,7 @@
 #[tokio::test]
 async fn a_helper_takes_a_bounded_number_of_requests() {
     let dead = DeadAddress::new(PathFault::Refused).await;
-    let stub = StubTarget::start(StubBehaviour::Slow(600)).await;
+    let stub = StubTarget::start(StubBehaviour::Slow(1_000)).await;
     let targets = [dead.address, stub.address].map(targets_at);
     let group = TestGroup::start(targets.into()).await;
     let outcomes = join_all((0..100).map(|_| group.forward(0, RouteKind::Unsafe))).await;
--- a/crates/service/tests/targets/run.rs
+++ b/crates/service/tests/targets/run.rs
@@ -149,8 +149,13 @@
 /// and the whole takes longer than any limit.
 #[tokio::test]
 async fn a_slow_but_steady_stream_is_read_to_its_end() {
-    let behaviour = StubBehaviour::StreamsSlowly(250);
-    let end = run_within(behaviour, 1, PartialText::default(), short_limits()).await;
+    let behaviour = StubBehaviour::StreamsSlowly(1_000);
+    let limits = StreamLimits {
+        silence: Duration::from_millis(2_000),
+        stall: Duration::from_millis(2_500),
+        ..short_limits()
+    };
+    let end = run_within(behaviour, 1, PartialText::default(), limits).await;
     let RunEnd::Completed(partial) = end else {
         panic!("expected a complete stream, got {end:?}");
     };
