--- a/scripts/build_old.sh
+++ b/scripts/build_old.sh
@@ -1,9 +1,9 @@
 #!/usr/bin/env bash
 # Builds the platform's program as it was at a commit, and prints its path. The tests in
-# platform/tests/processes/upgrade.rs run it beside the current one:
+# platform/tests/volume/upgrade.rs run it beside the current one:
 #
 #   BERGAMOTLANE_OLD_PROGRAM=$(scripts/build_old.sh COMMIT) \
-#     cargo test -p bergamotlane-platform --test processes upgrade
+#     cargo test -p bergamotlane-platform --test volume upgrade
 #
 # Usage: scripts/build_old.sh COMMIT
 set -euo pipefail
