Keep the ratio of pauses and limits in the test of a slow stream

All three are four times the former values now (1,000 of 1,200; 2,400), which is as strict as before and leaves the stub 200 ms instead of 50 on a busy machine.

--- a/crates/service/tests/targets/run.rs
+++ b/crates/service/tests/targets/run.rs
@@ -151,8 +151,8 @@
 async fn a_slow_but_steady_stream_is_read_to_its_end() {
     let behaviour = StubBehaviour::StreamsSlowly(1_000);
     let limits = StreamLimits {
-        silence: Duration::from_millis(2_000),
-        stall: Duration::from_millis(2_500),
+        silence: Duration::from_millis(1_200),
+        stall: Duration::from_millis(2_400),
         ..short_limits()
     };
     let end = run_within(behaviour, 1, PartialText::default(), limits).await;
