--- /dev/null
+++ b/review/standins/src/cases.rs
@@ -0,0 +1,58 @@
+//! The cases. Each returns whether the rule was broken.
+
+mod cut_stream;
+mod cut_text;
+mod failback;
+mod lost_route;
+
+use crate::cluster::Record;
+use crate::cluster::could_not_run;
+
+pub fn play(name: &str, record: &Record, has_trouble: bool) -> bool {
+    match name {
+        "lost-route" => lost_route::play(record, has_trouble),
+        "cut-text" => cut_text::play(record, has_trouble),
+        "cut-stream" => cut_stream::play(record, has_trouble),
+        "failback" => failback::play(record, has_trouble),
+        _ => could_not_run(record, "unknown case"),
+    }
+}
+
+/// Returns a desired state with these routes, all in JSON, over the two services.
+fn plan(version: u64, routes: &[&str]) -> String {
+    format!(
+        "{{\"version\":{version},\"routes\":[{}],\"services\":[\
+         {{\"name\":\"huvo11a\",\"health-path\":\"/health\",\"max-conns\":170,\"protocol\":\"h1\",\
+         \"tls\":false,\"cold-start-s\":3.0,\"cold-per-s\":14.0,\"engine\":{{\"capacity\":12,\
+         \"kv-capacity-tokens\":31283,\"kv-token-bytes\":18432,\"link-mbps\":700000.0,\"moves\":true,\
+         \"backups\":true,\"stride\":55,\"most\":12,\"pin-ms\":4000.0,\"hold-ms\":2000.0,\
+         \"handle_s\":5.0,\"models\":[{{\"name\":\"daka510000\"}}]}}}},\
+         {{\"name\":\"wuno96b\",\"health-path\":\"/health\",\"max-conns\":110,\"protocol\":\"h1\",\
+         \"tls\":false,\"cold-start-s\":0.0,\"cold-per-s\":0.0}}],\
+         \"limits\":{{\"max-header-bytes\":16384,\"max-body-bytes\":33554432,\
+         \"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}},\
+         \"tenants\":[{{\"name\":\"nowu640\",\"api-keys\":[\"{}\"],\"priority\":1}}]}}",
+        routes.join(","),
+        crate::cluster::KEY
+    )
+}
+
+/// Route of batch jobs, as on the users' page.
+const ROLLOUT_ROUTE: &str = "{\"name\":\"r-a9rgy35\",\"host\":\"ficu95.example\",\
+    \"path-prefix\":\"/pufi791/\",\"kind\":\"rollout\",\"timeout-ms\":10000,\
+    \"target-latency-ms\":400,\"priority\":1,\"service\":\"huvo11a\",\"max-attempts\":3,\
+    \"item-ttl-s\":40.0,\"result-deadline-ms\":7500,\"single-version\":false,\"auth-exempt\":false,\
+    \"sticky\":true,\"resumable\":true}";
+
+/// Route of look-ups at the service without models.
+const DESK_ROUTE: &str = "{\"name\":\"r-desk\",\"host\":\"ficu95.example\",\
+    \"path-prefix\":\"/desk/\",\"kind\":\"safe\",\"timeout-ms\":1500,\"target-latency-ms\":150,\
+    \"priority\":2,\"service\":\"wuno96b\",\"max-attempts\":2,\"auth-exempt\":false}";
+
+/// Returns IDs that look like those of the users' page.
+fn ids(kind: u64, count: usize) -> Vec<String> {
+    let mark = crate::unix_ms() & 0xff_ffff;
+    (0..count)
+        .map(|it| format!("{mark:06x}{kind:02x}{it:08x}"))
+        .collect()
+}
--- /dev/null
+++ b/review/standins/src/cases/failback.rs
@@ -0,0 +1,182 @@
+//! All engines of a service come back cold while look-ups and batch jobs wait for them.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::sleep;
+use std::time::Duration;
+
+use super::DESK_ROUTE;
+use super::ROLLOUT_ROUTE;
+use super::ids;
+use super::plan;
+use crate::cluster::Cluster;
+use crate::cluster::Layout;
+use crate::cluster::Record;
+use crate::jobs;
+
+const ENTRIES: u8 = 9;
+
+/// `cold-per-s` of the service, times `cold-over`, and `cold-slack`.
+const BOUND: f64 = 14.0 * 1.5 + 5.0;
+
+/// `cold-start-s` of the service.
+const COLD_MS: u64 = 3_000;
+
+/// Route of look-ups at the service of the batch jobs, as in the example of the users' page.
+const SHARED_ROUTE: &str = "{\"name\":\"r-qrh4jcd\",\"host\":\"ficu95.example\",\
+    \"path-prefix\":\"/lohu930/\",\"kind\":\"safe\",\"timeout-ms\":1500,\"target-latency-ms\":150,\
+    \"priority\":2,\"traffic-split\":[{\"service\":\"huvo11a\",\"weight\":90},{\"service\":\
+    \"wuno96b\",\"weight\":10}],\"max-attempts\":2,\"auth-exempt\":false}";
+
+pub fn play(record: &Record, has_trouble: bool) -> bool {
+    let layout = Layout {
+        keepers: 3,
+        entries: ENTRIES,
+    };
+    let cluster = Cluster::start(record, layout);
+    let routes = [ROLLOUT_ROUTE, SHARED_ROUTE, DESK_ROUTE];
+    cluster.order("PUT", "/-/config", &plan(3, &routes));
+    cluster.wait_ready();
+    let options = |cold: u64| {
+        let texts = [
+            "service=huvo11a",
+            "zone=piedmont-c",
+            "capacity=12",
+            "model=daka510000",
+            "streams=/pufi791/",
+            "events=3",
+            "gap=40",
+            "work=25",
+        ];
+        let mut all: Vec<String> = texts.iter().map(|it| (*it).to_owned()).collect();
+        all.push(format!("cold={cold}"));
+        all
+    };
+    let start = |id: &str, host: u8, cold: u64| {
+        let options = options(cold);
+        let options: Vec<&str> = options.iter().map(String::as_str).collect();
+        cluster.start_engine(id, host, &options)
+    };
+    let mut first = start("i-0000a001", 0, 0);
+    let mut second = start("i-0000a002", 1, 0);
+    let desk = [
+        "service=wuno96b",
+        "zone=piedmont-a",
+        "capacity=6",
+        "work=25",
+    ];
+    let _desk = cluster.start_engine("i-0000b001", 8, &desk);
+    sleep(Duration::from_secs(3));
+    let is_over = AtomicBool::new(false);
+    let (served, refused) = (AtomicU64::new(0), AtomicU64::new(0));
+    let mut revived = Vec::new();
+    thread::scope(|scope| {
+        for entry in 0..ENTRIES {
+            for worker in 0..3_u64 {
+                let (cluster, is_over) = (&cluster, &is_over);
+                let (served, refused) = (&served, &refused);
+                scope.spawn(move || {
+                    let mut number = 0;
+                    while !is_over.load(Ordering::Relaxed) {
+                        number += 1;
+                        let id = format!(
+                            "{entry:02x}{worker:02x}{:012x}",
+                            number + (crate::unix_ms() << 8)
+                        );
+                        let path = format!("/lohu930/{number:x}");
+                        let headers = [("X-Bergamotlane-Request-Id", id.as_str())];
+                        let limit = Duration::from_millis(1_500);
+                        let answer =
+                            cluster.request(entry, "POST", &path, &headers, b"mark", limit);
+                        let status = answer.map_or(0, |it| it.status());
+                        cluster
+                            .record
+                            .note(&format!("look-up {id} at entry {entry}: {status}"));
+                        match status {
+                            200 => served.fetch_add(1, Ordering::Relaxed),
+                            _ => refused.fetch_add(1, Ordering::Relaxed),
+                        };
+                        sleep(Duration::from_millis(150));
+                    }
+                });
+            }
+        }
+        let (trainer, is_done) = (&cluster, &is_over);
+        scope.spawn(move || {
+            for step in 0_u64.. {
+                if is_done.load(Ordering::Relaxed) {
+                    return;
+                }
+                let job = &ids(0x80 + step, 1)[0];
+                let items = ids(step, 60);
+                jobs::submit(
+                    trainer,
+                    ENTRIES,
+                    "/pufi791/",
+                    job,
+                    &jobs::job_body(&items, "/pufi791/3/"),
+                );
+                sleep(Duration::from_secs(4));
+            }
+        });
+        sleep(Duration::from_secs(5));
+        if has_trouble {
+            record.note("engines i-0000a001 and i-0000a002: killed");
+            first.kill();
+            second.kill();
+            sleep(Duration::from_millis(4_500));
+            revived.push(start("i-0000a011", 0, COLD_MS));
+            revived.push(start("i-0000a012", 1, COLD_MS));
+        } else {
+            sleep(Duration::from_millis(4_500));
+        }
+        sleep(Duration::from_secs(6));
+        is_over.store(true, Ordering::Relaxed);
+    });
+    record.note(&format!(
+        "look-ups: {} answered with 200, {} otherwise",
+        served.load(Ordering::Relaxed),
+        refused.load(Ordering::Relaxed)
+    ));
+    if served.load(Ordering::Relaxed) < 100 {
+        crate::cluster::could_not_run(record, "the look-ups are not served");
+    }
+    let mut is_broken = false;
+    let log = cluster.engine_log();
+    cluster.record_engines();
+    for (start_ms, id, what) in &log {
+        if !what.starts_with("start") || what.ends_with("cold-ms=0") {
+            continue;
+        }
+        let arrivals: Vec<(u64, &str)> = log
+            .iter()
+            .filter(|it| it.1 == *id && it.0 < start_ms + COLD_MS)
+            .filter_map(|it| Some((it.0, it.2.strip_prefix("arrived ")?)))
+            .collect();
+        for (at, what) in &arrivals {
+            record.note(&format!(
+                "cold engine {id}: {} ms after its start: {what}",
+                at - start_ms
+            ));
+        }
+        // Windows of a second: an arrival, and those less than 1,000 ms later.
+        let windows = arrivals.iter().map(|(from, _)| {
+            let within = arrivals
+                .iter()
+                .filter(|(at, _)| at >= from && *at < from + 1_000);
+            let kinds: Vec<&str> = within.map(|it| it.1).collect();
+            let plain = kinds.iter().filter(|it| it.starts_with("plain")).count();
+            (kinds.len(), plain, from - start_ms)
+        });
+        let (most, plain, from) = windows.max().unwrap_or_default();
+        record.note(&format!(
+            "cold engine {id}: at most {most} requests in a second ({plain} look-ups, {} items, from \
+             {from} ms after its start on); the bound is {BOUND}",
+            most - plain
+        ));
+        is_broken |= most as f64 > BOUND;
+    }
+    is_broken
+}
