Review, case 2: items of a killed engine are listed as completed with part of their text

Tried: six engines stream items in answers without a length; one engine process is killed while it runs items.

Command: review/2/run.sh, after the build of the deploy file and review/build.sh.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,8 @@
 # TROUBLE=0 leaves the disruption out. Needs the build of the deploy file and review/build.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/bergamotlane-platform ] && [ -x target/review/release/review-standins ] || exit 2
-exec target/review/release/review-standins case lost-route review/1
+target/review/release/review-standins case lost-route review/1 &
+case=$!
+# Whoever ends the script ends all that it started.
+trap 'pkill -KILL -P "$case"; kill -KILL "$case"; exit 2' INT TERM
+wait "$case"
--- a/review/standins/src/cases/cut_stream.rs
+++ b/review/standins/src/cases/cut_stream.rs
@@ -11,11 +11,14 @@
 use super::plan;
 use crate::cluster::Cluster;
 use crate::cluster::Layout;
+use crate::cluster::Process;
 use crate::cluster::Record;
 use crate::engine::event_text;
 
 const EVENTS: u64 = 8;
 
+const ENGINES: u8 = 6;
+
 /// Route of streams that may not be resumed.
 const STREAM_ROUTE: &str = "{\"name\":\"r-stream\",\"host\":\"ficu95.example\",\
     \"path-prefix\":\"/tale/\",\"kind\":\"streaming\",\"timeout-ms\":10000,\
@@ -42,9 +45,9 @@
         "unframed=1",
         "halves=1",
     ];
-    let _first = cluster.start_engine("i-0000a001", 0, &options);
-    let _second = cluster.start_engine("i-0000a002", 1, &options);
-    let mut third = cluster.start_engine("i-0000a003", 2, &options);
+    let mut engines: Vec<Process> = (0..ENGINES)
+        .map(|it| cluster.start_engine(&format!("i-0000a00{it}"), it, &options))
+        .collect();
     sleep(Duration::from_secs(3));
     let (cut, whole, none) = (
         Arc::new(Mutex::new(0)),
@@ -97,8 +100,8 @@
         }
         sleep(Duration::from_millis(475));
         if has_trouble {
-            record.note("engine i-0000a003: killed");
-            third.kill();
+            record.note("engine i-0000a002: killed");
+            engines[2].kill();
         }
     });
     cluster.record_engines();
--- a/review/standins/src/cases/cut_text.rs
+++ b/review/standins/src/cases/cut_text.rs
@@ -9,12 +9,15 @@
 use super::plan;
 use crate::cluster::Cluster;
 use crate::cluster::Layout;
+use crate::cluster::Process;
 use crate::cluster::Record;
 use crate::engine::event_text;
 use crate::jobs;
 
 const EVENTS: u64 = 10;
 
+const ENGINES: u8 = 6;
+
 pub fn play(record: &Record, has_trouble: bool) -> bool {
     let layout = Layout {
         keepers: 3,
@@ -34,9 +37,9 @@
         "gap=100",
         "unframed=1",
     ];
-    let _first = cluster.start_engine("i-0000a001", 0, &options);
-    let _second = cluster.start_engine("i-0000a002", 1, &options);
-    let mut third = cluster.start_engine("i-0000a003", 2, &options);
+    let mut engines: Vec<Process> = (0..ENGINES)
+        .map(|it| cluster.start_engine(&format!("i-0000a00{it}"), it, &options))
+        .collect();
     sleep(Duration::from_secs(3));
     let items = ids(1, 60);
     let job = &ids(2, 1)[0];
@@ -49,8 +52,8 @@
     );
     sleep(Duration::from_millis(500));
     if has_trouble {
-        record.note("engine i-0000a003: killed");
-        third.kill();
+        record.note("engine i-0000a002: killed");
+        engines[2].kill();
     }
     let (total, results) = jobs::read_until_done(&cluster, 2, job, Duration::from_secs(30));
     cluster.record_engines();
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -28,6 +28,9 @@
 /// Longest wait for something that has to come true before a case can begin.
 const SETUP_LIMIT: Duration = Duration::from_secs(25);
 
+/// Longest time that a case may take.
+const TIME_LIMIT: Duration = Duration::from_secs(110);
+
 /// Key of the only tenant.
 pub const KEY: &str = "3d3zji9n73hh2b9wu3fe";
 
@@ -61,15 +64,41 @@
     panic!("could not run: {why}");
 }
 
+/// IDs of the processes that were started and not yet ended.
+static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
+
+/// Ends the case with 2, and all that it started, if it takes longer than it may.
+pub fn limit_time(record: &Record) {
+    let record = record.clone();
+    thread::spawn(move || {
+        sleep(TIME_LIMIT);
+        record.note("could not run: it took too long");
+        for id in STARTED.lock().expect("processes").iter() {
+            let id = id.to_string();
+            Command::new("kill").args(["-KILL", &id]).status().ok();
+        }
+        std::process::exit(2);
+    });
+}
+
 /// A process that is killed on drop.
 pub struct Process {
     child: Child,
 }
 
+impl Process {
+    fn new(child: Child) -> Self {
+        STARTED.lock().expect("processes").push(child.id());
+        Self { child }
+    }
+}
+
 impl Process {
     pub fn kill(&mut self) {
         self.child.kill().ok();
         self.child.wait().ok();
+        let id = self.child.id();
+        STARTED.lock().expect("processes").retain(|it| *it != id);
     }
 }
 
@@ -237,7 +266,7 @@
             .stderr(errors)
             .spawn();
         match child {
-            Ok(child) => Process { child },
+            Ok(child) => Process::new(child),
             Err(error) => could_not_run(&self.record, &format!("{PROGRAM}: {error}")),
         }
     }
@@ -260,9 +289,7 @@
             .spawn();
         self.record
             .note(&format!("engine {id}: started, {}", options.join(" ")));
-        Process {
-            child: child.expect("engine"),
-        }
+        Process::new(child.expect("engine"))
     }
 
     /// Returns the lines that the engines wrote: time, ID and what happened.
--- a/review/standins/src/main.rs
+++ b/review/standins/src/main.rs
@@ -35,6 +35,7 @@
             let record = Record::new(&folder.join("record.txt"));
             let has_trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
             record.note(&format!("case {}, trouble {has_trouble}", arguments[1]));
+            cluster::limit_time(&record);
             let play = || cases::play(&arguments[1], &record, has_trouble);
             let is_broken = catch_unwind(AssertUnwindSafe(play));
             let (code, verdict) = match is_broken {
