Review, case 1: the same with planned work alone

Tried: case 1 with the leading keeper stopped by SIGTERM instead of killed.

Command: HOW=term review/1/run.sh.

--- a/review/standins/src/cases/lost_route.rs
+++ b/review/standins/src/cases/lost_route.rs
@@ -56,7 +56,11 @@
         let Some(leader) = cluster.leader() else {
             could_not_run(record, "no leader");
         };
-        cluster.kill_keeper(leader);
+        // With HOW=term the leader is stopped and started as for planned work.
+        match std::env::var("HOW").as_deref() {
+            Ok("term") => cluster.stop_keeper(leader),
+            _ => cluster.kill_keeper(leader),
+        }
         sleep(Duration::from_millis(1_000));
         cluster.restart_keeper(leader);
     } else {
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -405,6 +405,17 @@
         }
     }
 
+    /// Stops a keeper as the platform does for planned work, and waits until it has ended.
+    pub fn stop_keeper(&mut self, number: u8) {
+        self.record.note(&format!("keeper {number}: SIGTERM"));
+        if let Some(mut process) = self.keepers[number as usize].take() {
+            let id = process.child.id().to_string();
+            Command::new("kill").args(["-TERM", &id]).status().ok();
+            process.child.wait().ok();
+        }
+        self.record.note(&format!("keeper {number}: ended"));
+    }
+
     pub fn restart_keeper(&mut self, number: u8) {
         self.record.note(&format!("keeper {number}: started again"));
         let process = self.start_keeper(number, false);
