Review, case 3: a late DELETE of an earlier boot takes the running engine out for good

Tried: an engine drains, leaves and starts again under its ID; the first of its two DELETE calls arrives 3.5 s late, while the new boot runs items.

Command: review/3/run.sh, after the build of the deploy file and review/build.sh.

--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -3,6 +3,7 @@
 mod cut_stream;
 mod cut_text;
 mod failback;
+mod late_leave;
 mod lost_route;
 
 use crate::cluster::Record;
@@ -13,6 +14,7 @@
         "lost-route" => lost_route::play(record, has_trouble),
         "cut-text" => cut_text::play(record, has_trouble),
         "cut-stream" => cut_stream::play(record, has_trouble),
+        "late-leave" => late_leave::play(record, has_trouble),
         "failback" => failback::play(record, has_trouble),
         _ => could_not_run(record, "unknown case"),
     }
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -94,6 +94,13 @@
 }
 
 impl Process {
+    /// Writes a line to the process's standard input.
+    pub fn tell(&mut self, line: &str) {
+        if let Some(input) = &mut self.child.stdin {
+            writeln!(input, "{line}").ok();
+        }
+    }
+
     pub fn kill(&mut self) {
         self.child.kill().ok();
         self.child.wait().ok();
--- a/review/standins/src/engine.rs
+++ b/review/standins/src/engine.rs
@@ -6,12 +6,14 @@
 use std::collections::HashMap;
 use std::fs::File;
 use std::io::Write;
+use std::io::stdin;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -51,6 +53,8 @@
     version: AtomicU64,
     sequence: AtomicU64,
     controls: Vec<SocketAddr>,
+    /// Whether the engine says that it drains.
+    is_draining: AtomicBool,
     /// Running and waiting requests.
     slots: Mutex<(u32, u32)>,
     freed: Condvar,
@@ -86,6 +90,7 @@
             .split(',')
             .filter_map(|it| it.parse().ok())
             .collect(),
+        is_draining: AtomicBool::new(false),
         slots: Mutex::default(),
         freed: Condvar::new(),
         log: Mutex::new(
@@ -100,6 +105,8 @@
     engine.note(&format!("start {} cold-ms={}", engine.id, number("cold")));
     let announcer = Arc::clone(&engine);
     thread::spawn(move || announcer.announce());
+    let commanded = Arc::clone(&engine);
+    thread::spawn(move || commanded.obey());
     for stream in listener.incoming().flatten() {
         let engine = Arc::clone(&engine);
         thread::spawn(move || engine.serve(stream));
@@ -125,17 +132,31 @@
         left.as_millis()
     }
 
+    /// Drains when the line `drain` comes on standard input.
+    fn obey(&self) {
+        for line in stdin().lines().map_while(Result::ok) {
+            if line == "drain" {
+                self.is_draining.store(true, Ordering::Relaxed);
+                self.note("drains from its next announcement on");
+            }
+        }
+    }
+
     fn announce(&self) {
         let mut next = 0;
         for sequence in 1_u64.. {
             let body = format!(
                 "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
-                 \"capacity\":{},\"state\":\"ready\",\"cold-left-ms\":{},\"stage\":\"both\",\
+                 \"capacity\":{},\"state\":\"{}\",\"cold-left-ms\":{},\"stage\":\"both\",\
                  \"models\":[{}],\"sequence\":{sequence},\"born\":{}}}",
                 self.service,
                 self.address,
                 self.zone,
                 self.capacity,
+                match self.is_draining.load(Ordering::Relaxed) {
+                    true => "draining",
+                    false => "ready",
+                },
                 self.cold_left_ms(),
                 self.models(),
                 self.born
@@ -146,7 +167,9 @@
                 let limit = Duration::from_secs(1);
                 let headers = [("Content-Type", "application/json")];
                 let answer = call(control, "PUT", &path, &headers, body.as_bytes(), limit);
-                if answer.is_some_and(|it| it.status() / 100 == 2) {
+                let status = answer.map_or(0, |it| it.status());
+                self.note(&format!("announcement {sequence} at {control}: {status}"));
+                if status / 100 == 2 {
                     break;
                 }
                 next += 1;
