--- a/review/standins/src/cases.rs
+++ b/review/standins/src/cases.rs
@@ -6,6 +6,11 @@
 mod late_leave;
 mod lost_route;
 
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::cluster::Cluster;
+use crate::cluster::Process;
 use crate::cluster::Record;
 use crate::cluster::could_not_run;
 
@@ -51,6 +56,39 @@
     \"path-prefix\":\"/desk/\",\"kind\":\"safe\",\"timeout-ms\":1500,\"target-latency-ms\":150,\
     \"priority\":2,\"service\":\"wuno96b\",\"max-attempts\":2,\"auth-exempt\":false}";
 
+/// Number of engines of which the first `GARBLING` send one stream in `UNFRAMED_EACH` without a length:
+/// a share of 0.33 and x of 0.02, where the site has 0.35 and 0.02 for `garble`.
+const ENGINES: u8 = 6;
+const GARBLING: u8 = 2;
+const UNFRAMED_EACH: u64 = 50;
+
+/// Starts the engines; `options` are those of all of them.
+fn start_engines(cluster: &Cluster, options: &[&str]) -> BTreeMap<String, Process> {
+    let unframed = format!("unframed-each={UNFRAMED_EACH}");
+    let engines = (0..ENGINES).map(|number| {
+        let mut options = options.to_vec();
+        if number < GARBLING {
+            options.push(&unframed);
+        }
+        let id = format!("i-0000a00{number}");
+        let process = cluster.start_engine(&id, number, &options);
+        (id, process)
+    });
+    engines.collect()
+}
+
+/// Kills an engine while it sends a stream without a length.
+fn kill_in_stream(cluster: &Cluster, engines: &mut BTreeMap<String, Process>) {
+    let limit = Duration::from_secs(40);
+    let Some(engine) = cluster.wait_unframed(Duration::from_millis(350), limit) else {
+        could_not_run(&cluster.record, "no stream without a length was seen");
+    };
+    if let Some(mut process) = engines.remove(&engine) {
+        process.kill();
+    }
+    cluster.record.note(&format!("engine {engine}: killed"));
+}
+
 /// Returns IDs that look like those of the users' page.
 fn ids(kind: u64, count: usize) -> Vec<String> {
     let mark = crate::unix_ms() & 0xff_ffff;
--- a/review/standins/src/cluster.rs
+++ b/review/standins/src/cluster.rs
@@ -323,6 +323,31 @@
         lines
     }
 
+    /// Waits for a stream without a length that has been under way for `age`; returns its engine's ID.
+    pub fn wait_unframed(&self, age: Duration, limit: Duration) -> Option<String> {
+        let end = Instant::now() + limit;
+        while Instant::now() < end {
+            let log = self.engine_log();
+            let found = log.iter().find(|(at, engine, what)| {
+                let Some(id) = what.strip_prefix("unframed ") else {
+                    return false;
+                };
+                let ended = format!("ended stream {id} ");
+                let has_ended = log
+                    .iter()
+                    .any(|it| it.1 == *engine && it.2.starts_with(&ended));
+                !has_ended && unix_ms().saturating_sub(*at) >= age.as_millis() as u64
+            });
+            if let Some((_, engine, what)) = found {
+                self.record
+                    .note(&format!("engine {engine}: {what}, under way"));
+                return Some(engine.clone());
+            }
+            sleep(Duration::from_millis(10));
+        }
+        None
+    }
+
     /// Writes down what the engines say that they got and ran.
     pub fn record_engines(&self) {
         for (time, id, what) in self.engine_log() {
