Keep an open job whose route is gone for as long as callers may read it

What callers saw: a batch job older than status-s whose route was removed is gone for good (404) as soon as a leader is elected, although its items may still run and its route comes back moments later.

Cause: the search for jobs to forget took "isn't in the scheduler" for "is over".

Change: retention.rs decides by the committed state, the plan in force and the ages. A job without a route is kept until no plan has had one for the whole retention; a leader counts that time from its own beginning, which errs on the safe side. Each job that is forgotten is logged with its reason.

--- a/crates/service/src/keeper/admit.rs
+++ b/crates/service/src/keeper/admit.rs
@@ -32,18 +32,25 @@
 }
 
 impl<D: TargetDialect> KeeperCore<D> {
-    /// Brings the jobs of a scope in the scheduler up to date with the state and the plan in force.
-    pub(super) fn update_agenda(&mut self, scope: &AgendaScope) {
-        let Some(lead) = &self.lead else {
-            return;
-        };
-        let agenda = Agenda {
+    /// Returns what decides which jobs the scheduler holds.
+    pub(super) fn agenda(&self) -> Agenda<'_> {
+        Agenda {
             state: &self.state,
             routes: self.routes.as_deref(),
             ages: &self.ages,
             now: now(),
+        }
+    }
+
+    /// Brings the jobs of a scope in the scheduler up to date with the state and the plan in force.
+    pub(super) fn update_agenda(&mut self, scope: &AgendaScope) {
+        if *scope == AgendaScope::All {
+            self.watch_retention(now());
+        }
+        let Some(lead) = &self.lead else {
+            return;
         };
-        for change in agenda.changes(scope, &lead.scheduler) {
+        for change in self.agenda().changes(scope, &lead.scheduler) {
             match change {
                 AgendaChange::Admit(job, constraints) => self.admit_job(&job, constraints),
                 AgendaChange::Constrain(job, constraints) => self.constrain_job(&job, constraints),
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -21,6 +21,7 @@
 use crate::jobs::ItemResult;
 use crate::metrics::METRICS;
 use crate::registry::TargetRegistry;
+use crate::retention::RetentionWatch;
 use crate::run::RunProgress;
 use crate::schedule::ItemScheduler;
 use crate::scoring::ScoreKey;
@@ -133,6 +134,8 @@
     duties_due: ClockTime,
     weights_due: ClockTime,
     pace_due: ClockTime,
+    /// Jobs that have no route.
+    pub(super) retention: RetentionWatch,
     pub(super) forget_due: ClockTime,
 }
 
@@ -191,6 +194,7 @@
             duties_due: time,
             weights_due: time,
             pace_due: time,
+            retention: RetentionWatch::default(),
             forget_due: time,
         });
     }
--- a/crates/service/src/keeper/retention.rs
+++ b/crates/service/src/keeper/retention.rs
@@ -1,8 +1,10 @@
-//! Retention of batch jobs: which ones the leader proposes to forget.
+//! Retention of batch jobs: the leader proposes to forget those whose retention is over.
 
 use super::core::CallOrigin;
 use super::core::KeeperCore;
+use crate::agenda::Agenda;
 use crate::dialect::TargetDialect;
+use crate::jobs::JobRecord;
 use crate::state::StateCommand;
 use bergamotlane_coordination::clock::ClockTime;
 
@@ -14,28 +16,37 @@
 const FORGET_MARGIN_MS: u64 = 5_000;
 
 impl<D: TargetDialect> KeeperCore<D> {
-    /// Proposes to drop jobs whose retention is over, unless their items still run. A job that no
-    /// route matches has none that do.
-    pub(super) fn forget_jobs(&mut self, time: ClockTime) {
-        let Some(lead) = &mut self.lead else {
-            return;
+    /// Notes which jobs have no route in the plan in force.
+    pub(super) fn watch_retention(&mut self, time: ClockTime) {
+        let agenda = Agenda {
+            state: &self.state,
+            routes: self.routes.as_deref(),
+            ages: &self.ages,
+            now: time,
         };
-        if time < lead.forget_due {
+        if let Some(lead) = &mut self.lead {
+            lead.retention.observe(time, &agenda);
+        }
+    }
+
+    /// Proposes to drop the jobs whose retention is over.
+    pub(super) fn forget_jobs(&mut self, time: ClockTime) {
+        if self.lead.as_ref().is_none_or(|it| time < it.forget_due) {
             return;
         }
-        lead.forget_due = time + FORGET_INTERVAL_MS;
+        self.watch_retention(time);
+        let Some(lead) = &self.lead else {
+            return;
+        };
         let retention_ms = self.settings.job_retention_ms + FORGET_MARGIN_MS;
-        let expired: Vec<String> = self
-            .state
-            .jobs
-            .iter()
-            .filter(|(id, job)| job.is_settled() || !lead.scheduler.contains(id))
-            .filter(|(id, _)| {
-                let age_ms = self.ages.age_ms(time, id);
-                age_ms.is_some_and(|it| it > retention_ms)
-            })
-            .map(|(id, _)| id.clone())
-            .collect();
+        let expired = lead.retention.expired(time, &self.agenda(), retention_ms);
+        if let Some(lead) = &mut self.lead {
+            lead.forget_due = time + FORGET_INTERVAL_MS;
+        }
+        for job in &expired {
+            let is_settled = self.state.jobs.get(job).is_some_and(JobRecord::is_settled);
+            spdlog::info!("job: retention over", kv: { job = job.as_str(), is_settled });
+        }
         if !expired.is_empty() {
             self.propose(&StateCommand::ForgetJobs(expired), CallOrigin::Leader);
         }
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod registry;
 pub mod relay;
 mod relay_links;
+pub mod retention;
 pub mod run;
 pub mod schedule;
 pub mod scoring;
