Let waiting reward calls follow the plan in force

Cause: due time, time to live and number of errors were copied into the task when the text was queued; a later plan changed its service alone.

Change: ScoreTerms holds all that the plan sets for a reward call, derived by one function from the job's constraints and the plan, when the text is queued and at each plan. An item that has met more server errors than a new plan allows is given up, as no call of it may start.

--- a/crates/service/src/keeper/effects.rs
+++ b/crates/service/src/keeper/effects.rs
@@ -52,7 +52,7 @@
                     lead.changes.plan = true;
                     lead.changes.zones = true;
                 }
-                self.reroute_rewards();
+                self.update_score_terms();
                 self.update_chooser(now());
                 self.push_views();
             }
--- a/crates/service/src/keeper/scoring.rs
+++ b/crates/service/src/keeper/scoring.rs
@@ -27,7 +27,9 @@
 use crate::scoring::ScoreEnd;
 use crate::scoring::ScoreKey;
 use crate::scoring::ScoreTask;
+use crate::scoring::ScoreTerms;
 use crate::texts::TextKey;
+use crate::work::JobConstraints;
 use crate::work::PartialText;
 use crate::work::RunKey;
 use bergamotlane_coordination::clock::ClockTime;
@@ -64,26 +66,22 @@
 
     /// Queues the reward call of an item whose text is complete.
     pub(super) fn queue_score(&mut self, time: ClockTime, unscored: UnscoredText) {
+        let (jobs, routes) = (&self.state.jobs, self.routes.as_deref());
         let scheduler = self.lead.as_ref().map(|it| &it.scheduler);
         let constraints = scheduler.and_then(|it| it.constraints(&unscored.job));
         let (Some(constraints), Some(record), Some(reward)) = (
-            constraints.cloned(),
-            self.state.jobs.get(&unscored.job),
-            reward_of(&self.state.jobs, &unscored.job, unscored.item),
+            constraints,
+            jobs.get(&unscored.job),
+            reward_of(jobs, &unscored.job, unscored.item),
         ) else {
             return;
         };
-        let route = self
-            .routes
-            .as_deref()
-            .and_then(|it| reward_route(it, reward));
-        let route_attempts = route.map_or(0, |it| it.max_attempts);
+        let terms = score_terms(constraints, routes, reward);
         let submission = &record.submission;
         let text_key = TextKey {
             customer: submission.customer.clone(),
             item: submission.items[unscored.item as usize].id.clone(),
         };
-        let service = route.and_then(|it| reward_service(it, reward));
         let is_first = self.lead.as_ref().is_some_and(|it| it.scores.is_empty());
         if is_first {
             self.update_chooser(time);
@@ -94,10 +92,7 @@
         let task = ScoreTask {
             job: unscored.job,
             item: unscored.item,
-            due: constraints.due,
-            expires: constraints.expires,
-            max_errors: constraints.max_attempts.max(route_attempts),
-            service,
+            terms,
             text: unscored.text,
             text_key,
             run: global_run_id(lead.term, unscored.run),
@@ -107,7 +102,7 @@
             job = task.job.as_str(),
             item = task.item,
             request = task_request(&self.state.jobs, &task),
-            service = task.service.as_deref().unwrap_or_default(),
+            service = task.terms.service.as_deref().unwrap_or_default(),
         });
         lead.scores.add(time, task);
     }
@@ -199,7 +194,7 @@
             kind: RouteKind::Safe,
             max_attempts: route.max_attempts.min(lead.scores.errors_left(key)),
             latency_target_ms: route.latency_target_ms,
-            limit: limit.min(task.expires),
+            limit: limit.min(task.terms.expires),
             takes_cold: cold_per_s > 0.0,
             begins: None,
             resumes: None,
@@ -228,7 +223,7 @@
                 job = task.job.as_str(),
                 item = task.item,
                 request = task_request(&self.state.jobs, task),
-                service = task.service.as_deref().unwrap_or_default(),
+                service = task.terms.service.as_deref().unwrap_or_default(),
                 outcome,
                 server_errors = end.server_errors,
                 since_text_ms,
@@ -242,13 +237,15 @@
         }
     }
 
-    /// Directs later reward calls to the services that the plan in force names.
-    pub(super) fn reroute_rewards(&mut self) {
+    /// Applies the plan in force to later reward calls. Must be called after the agenda was updated.
+    pub(super) fn update_score_terms(&mut self) {
         let (jobs, routes) = (&self.state.jobs, self.routes.as_deref());
         if let Some(lead) = &mut self.lead {
-            lead.scores.set_services(|task| {
+            let scheduler = &lead.scheduler;
+            lead.scores.set_terms(|task| {
+                let constraints = scheduler.constraints(&task.job)?;
                 let reward = reward_of(jobs, &task.job, task.item)?;
-                reward_service(reward_route(routes?, reward)?, reward)
+                Some(score_terms(constraints, routes, reward))
             });
         }
     }
@@ -281,6 +278,23 @@
     routes.route(&reward.host, path)
 }
 
+/// Returns the terms of the reward calls of an item, by the constraints of its job and the plan in
+/// force.
+fn score_terms(
+    constraints: &JobConstraints,
+    routes: Option<&RouteIndex>,
+    reward: &RewardCall,
+) -> ScoreTerms {
+    let route = routes.and_then(|it| reward_route(it, reward));
+    let route_attempts = route.map_or(0, |it| it.max_attempts);
+    ScoreTerms {
+        due: constraints.due,
+        expires: constraints.expires,
+        max_errors: constraints.max_attempts.max(route_attempts),
+        service: route.and_then(|it| reward_service(it, reward)),
+    }
+}
+
 /// Returns the service of a route that a reward call goes to; calls with the same ID go to the
 /// same one.
 fn reward_service(route: &RouteRule, reward: &RewardCall) -> Option<String> {
--- a/crates/service/src/scoring.rs
+++ b/crates/service/src/scoring.rs
@@ -23,13 +23,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ScoreKey(pub u64);
 
-/// Item with a complete text that needs a score.
-#[derive(Debug, Clone)]
-pub struct ScoreTask {
-    /// ID of the job.
-    pub job: String,
-    /// Index of the item in its submission.
-    pub item: u32,
+/// What the plan in force sets for the reward calls of an item.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ScoreTerms {
     /// Deadline for all results of the job.
     pub due: ClockTime,
     /// Time from which the item may be given up.
@@ -38,6 +34,17 @@
     pub max_errors: u32,
     /// Name of the service that scores the item, or `None` while no route leads to one.
     pub service: Option<String>,
+}
+
+/// Item with a complete text that needs a score.
+#[derive(Debug, Clone)]
+pub struct ScoreTask {
+    /// ID of the job.
+    pub job: String,
+    /// Index of the item in its submission.
+    pub item: u32,
+    /// Terms of its reward calls.
+    pub terms: ScoreTerms,
     /// Complete text.
     pub text: PartialText,
     /// Identity under which the text is replicated.
@@ -118,7 +125,9 @@
     /// Returns the number of further server errors that an item may meet.
     pub fn errors_left(&self, key: ScoreKey) -> u32 {
         let queued = self.tasks.get(&key);
-        queued.map_or(0, |it| it.task.max_errors.saturating_sub(it.server_errors))
+        queued.map_or(0, |it| {
+            it.task.terms.max_errors.saturating_sub(it.server_errors)
+        })
     }
 
     /// Returns the time since an item was added, in milliseconds.
@@ -126,11 +135,13 @@
         self.tasks.get(&key).map_or(0, |it| now.since(it.added_at))
     }
 
-    /// Sets the service of each item, for example after a change of the plan. Calls in progress
-    /// continue.
-    pub fn set_services(&mut self, service_of: impl Fn(&ScoreTask) -> Option<String>) {
+    /// Replaces the terms of the items for which `terms_of` has some. Must be called after every
+    /// change of the plan. Calls in progress continue.
+    pub fn set_terms(&mut self, terms_of: impl Fn(&ScoreTask) -> Option<ScoreTerms>) {
         for queued in self.tasks.values_mut() {
-            queued.task.service = service_of(&queued.task);
+            if let Some(terms) = terms_of(&queued.task) {
+                queued.task.terms = terms;
+            }
         }
     }
 
@@ -139,7 +150,13 @@
     pub fn next_calls(&mut self, now: ClockTime, slots: &HashMap<String, u32>) -> Vec<ScoreKey> {
         let mut free = slots.clone();
         for queued in self.tasks.values().filter(|it| it.is_calling) {
-            if let Some(free) = queued.task.service.as_ref().and_then(|it| free.get_mut(it)) {
+            if let Some(free) = queued
+                .task
+                .terms
+                .service
+                .as_ref()
+                .and_then(|it| free.get_mut(it))
+            {
                 *free = free.saturating_sub(1);
             }
         }
@@ -148,14 +165,14 @@
             .iter()
             .filter(|(_, it)| !it.is_calling && now >= it.retry_at);
         let mut order: Vec<(ClockTime, ScoreKey)> =
-            waiting.map(|(key, it)| (it.task.due, *key)).collect();
+            waiting.map(|(key, it)| (it.task.terms.due, *key)).collect();
         order.sort_unstable();
         let mut calls = Vec::new();
         for (_, key) in order {
             let Some(queued) = self.tasks.get_mut(&key) else {
                 continue;
             };
-            let service = queued.task.service.as_ref();
+            let service = queued.task.terms.service.as_ref();
             let Some(free) = service.and_then(|it| free.get_mut(it)) else {
                 continue;
             };
@@ -179,7 +196,7 @@
         let queued = self.tasks.get_mut(&key)?;
         queued.is_calling = false;
         queued.server_errors += end.server_errors;
-        let is_given_up = queued.server_errors >= queued.task.max_errors;
+        let is_given_up = queued.server_errors >= queued.task.terms.max_errors;
         if end.score.is_none() && !is_given_up {
             let backoff_ms = FIRST_BACKOFF_MS << queued.failures.min(4);
             queued.retry_at = now + backoff_ms.min(MAX_BACKOFF_MS);
@@ -200,10 +217,15 @@
         dropped.map(|(key, _)| key).collect()
     }
 
-    /// Gives up the items that are past their time to live. Returns their keys and results; the
-    /// caller must stop their calls.
+    /// Gives up the items that are past their time to live, and those that wait although they have met
+    /// all the server errors that they may. Returns their keys and results; the caller must stop
+    /// their calls.
     pub fn expire(&mut self, now: ClockTime) -> Vec<(ScoreKey, String, ItemResult)> {
-        let expired = self.tasks.extract_if(.., |_, it| now >= it.task.expires);
+        let expired = self.tasks.extract_if(.., |_, it| {
+            let terms = &it.task.terms;
+            let has_failed = !it.is_calling && it.server_errors > 0;
+            now >= terms.expires || (has_failed && it.server_errors >= terms.max_errors)
+        });
         expired
             .map(|(key, it)| {
                 let result = ItemResult::terminated(it.task.item);
--- a/crates/service/tests/scoring.rs
+++ b/crates/service/tests/scoring.rs
@@ -16,19 +16,26 @@
 use bergamotlane_service::scoring::ScoreKey;
 use bergamotlane_service::scoring::ScoreQueue;
 use bergamotlane_service::scoring::ScoreTask;
+use bergamotlane_service::scoring::ScoreTerms;
 use bergamotlane_service::texts::TextKey;
 use bergamotlane_service::work::PartialText;
 
 const START: ClockTime = ClockTime(50_000);
 
-fn task(job: &str, item: u32, due_ms: u64) -> ScoreTask {
-    ScoreTask {
-        job: job.to_owned(),
-        item,
+fn terms(due_ms: u64) -> ScoreTerms {
+    ScoreTerms {
         due: START + due_ms,
         expires: START + 40_000,
         max_errors: 3,
         service: Some("desk".to_owned()),
+    }
+}
+
+fn task(job: &str, item: u32, due_ms: u64) -> ScoreTask {
+    ScoreTask {
+        job: job.to_owned(),
+        item,
+        terms: terms(due_ms),
         text: PartialText {
             events: vec![Bytes::from_static(b"a"), Bytes::from_static(b"b")],
             last_id: Some(1),
@@ -133,13 +140,54 @@
 fn an_item_without_a_route_waits_until_a_plan_has_one() {
     let mut queue = ScoreQueue::default();
     let mut unrouted = task("a", 0, 1_000);
-    unrouted.service = None;
+    unrouted.terms.service = None;
     let key = queue.add(START, unrouted);
     assert_eq!(queue.next_calls(START, &slots(4)), []);
-    queue.set_services(|_| Some("desk".to_owned()));
+    queue.set_terms(|_| Some(terms(1_000)));
     assert_eq!(queue.next_calls(START, &slots(4)), [key]);
 }
 
+/// Guards against items that are given up, ordered or failed by the plan under which their texts were
+/// queued, although another one is in force.
+#[test]
+fn items_that_wait_follow_the_plan_in_force() {
+    let mut queue = ScoreQueue::default();
+    let first = queue.add(START, task("a", 0, 1_000));
+    let second = queue.add(START, task("b", 1, 2_000));
+    queue.set_terms(|task| {
+        let due_ms = if task.job == "a" { 5_000 } else { 2_000 };
+        Some(ScoreTerms {
+            expires: START + 60_000,
+            max_errors: 2,
+            ..terms(due_ms)
+        })
+    });
+    assert_eq!(queue.expire(START + 40_000), []);
+    assert_eq!(queue.next_calls(START, &slots(1)), [second]);
+    assert_eq!(queue.errors_left(first), 2);
+    queue.set_terms(|_| None);
+    assert_eq!(queue.expire(START + 59_999), []);
+    assert_eq!(queue.expire(START + 60_000).len(), 2);
+}
+
+/// Guards against an item that waits for a call it may not make, after a plan has lowered the number of
+/// server errors below those that it has met.
+#[test]
+fn an_item_past_a_lowered_limit_of_errors_is_given_up() {
+    let mut queue = ScoreQueue::default();
+    let key = queue.add(START, task("a", 0, 1_000));
+    queue.next_calls(START, &slots(1));
+    assert_eq!(queue.finish_call(START, key, failed(2)), None);
+    assert_eq!(queue.expire(START + 1), []);
+    queue.set_terms(|_| {
+        Some(ScoreTerms {
+            max_errors: 1,
+            ..terms(1_000)
+        })
+    });
+    assert_eq!(queue.expire(START + 2).len(), 1);
+}
+
 #[test]
 fn the_items_of_an_ended_job_are_dropped_and_late_answers_ignored() {
     let mut queue = ScoreQueue::default();
