Generate a text again that the plan in force no longer accepts

What callers saw: a result with several weight versions on a route that wants a single one by now (VERSION: "or there are several on a single-version route"), if its text waited for its score while the route changed. A leader elected meanwhile would have generated it again.

Cause: whether a complete text fits its route was asked once, when it was queued for its score.

Change: after each plan, the texts that don't fit leave the queue of reward calls, and their items wait for a run again. Runs in progress were asked at their end already.

--- a/crates/service/src/keeper/scoring.rs
+++ b/crates/service/src/keeper/scoring.rs
@@ -237,16 +237,30 @@
         }
     }
 
-    /// Applies the plan in force to later reward calls. Must be called after the agenda was updated.
+    /// Applies the plan in force to later reward calls; items whose texts it doesn't accept are
+    /// generated again. Must be called after the agenda was updated.
     pub(super) fn update_score_terms(&mut self) {
         let (jobs, routes) = (&self.state.jobs, self.routes.as_deref());
-        if let Some(lead) = &mut self.lead {
-            let scheduler = &lead.scheduler;
-            lead.scores.set_terms(|task| {
-                let constraints = scheduler.constraints(&task.job)?;
-                let reward = reward_of(jobs, &task.job, task.item)?;
-                Some(score_terms(constraints, routes, reward))
+        let Some(lead) = &mut self.lead else {
+            return;
+        };
+        let scheduler = &mut lead.scheduler;
+        lead.scores.set_terms(|task| {
+            let constraints = scheduler.constraints(&task.job)?;
+            let reward = reward_of(jobs, &task.job, task.item)?;
+            Some(score_terms(constraints, routes, reward))
+        });
+        let unfit = lead.scores.take_unfit(|task| {
+            let constraints = scheduler.constraints(&task.job);
+            constraints.is_none_or(|it| task.text.fits(it.min_version, it.single_version))
+        });
+        for (key, job, item) in unfit {
+            spdlog::info!("reward: text does not fit the plan in force", kv: {
+                job = job.as_str(),
+                item,
             });
+            lead.reward_calls.remove(&key);
+            scheduler.requeue(&job, item);
         }
     }
 
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -119,6 +119,14 @@
         }
     }
 
+    /// Makes an item wait for a run again, ahead of the others of its job, since its text is of no
+    /// use.
+    pub fn requeue(&mut self, job: &str, item: u32) {
+        if let Some(queue) = self.jobs.get_mut(job) {
+            queue.waiting.push_front(item);
+        }
+    }
+
     /// Returns whether the job was added and not dropped since.
     pub fn contains(&self, job: &str) -> bool {
         self.jobs.contains_key(job)
--- a/crates/service/src/scoring.rs
+++ b/crates/service/src/scoring.rs
@@ -145,6 +145,18 @@
         }
     }
 
+    /// Removes the items whose texts don't fit and returns them, each as key, job and index; the
+    /// caller must stop their calls.
+    pub fn take_unfit(
+        &mut self,
+        fits: impl Fn(&ScoreTask) -> bool,
+    ) -> Vec<(ScoreKey, String, u32)> {
+        let unfit = self.tasks.extract_if(.., |_, it| !fits(&it.task));
+        unfit
+            .map(|(key, it)| (key, it.task.job, it.task.item))
+            .collect()
+    }
+
     /// Returns the items whose calls the caller must make now, at most `slots` at a time for each
     /// service. A service that is not in `slots` gets none.
     pub fn next_calls(&mut self, now: ClockTime, slots: &HashMap<String, u32>) -> Vec<ScoreKey> {
--- a/crates/service/tests/scoring.rs
+++ b/crates/service/tests/scoring.rs
@@ -170,6 +170,20 @@
     assert_eq!(queue.expire(START + 60_000).len(), 2);
 }
 
+/// Guards against a text that is scored although the plan in force doesn't accept it.
+#[test]
+fn a_text_that_does_not_fit_leaves_the_queue_once() {
+    let mut queue = ScoreQueue::default();
+    let unfit = queue.add(START, task("a", 3, 1_000));
+    let kept = queue.add(START, task("b", 1, 1_000));
+    queue.next_calls(START, &slots(1));
+    let taken = queue.take_unfit(|task| task.job == "b");
+    assert_eq!(taken, [(unfit, "a".to_owned(), 3)]);
+    assert_eq!(queue.finish_call(START, unfit, scored("s")), None);
+    assert!(queue.take_unfit(|task| task.job == "b").is_empty());
+    assert_eq!(queue.next_calls(START, &slots(1)), [kept]);
+}
+
 /// Guards against an item that waits for a call it may not make, after a plan has lowered the number of
 /// server errors below those that it has met.
 #[test]
