Report the usage windows that end while all keepers are down

Cause: a leader chose its first window at the election, from the closed windows that it had applied by then.

Change: WindowCursor chooses when the leader first closes a window, with all committed entries applied, and where no window is closed yet, by the earliest that has counts. A keeper closes none in its first 2.5 s, in which the entries link to it and send their sums; else it would fix zeros.

--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -12,6 +12,7 @@
 
 use super::KeeperEvent;
 use super::KeeperSettings;
+use super::duties::CLOSE_DELAY_MS;
 use super::lead::LeaderState;
 use super::memory::MemoryReport;
 use super::snapshots::SnapshotTurn;
@@ -165,6 +166,8 @@
     /// Time at which the last known targets must be saved, if they changed.
     pub(super) targets_due: Option<ClockTime>,
     pub(super) tally: UsageTally,
+    /// Time from which all entries have sent their usage to this process.
+    pub(super) usage_known_at: ClockTime,
     /// Partial texts that later runs of their items resume from.
     pub(super) texts: TextStore,
     /// Journal of the partial texts; `None` if it could not be opened.
@@ -289,6 +292,7 @@
             view_term: 0,
             targets_due: None,
             tally: UsageTally::default(),
+            usage_known_at: time + CLOSE_DELAY_MS,
             texts,
             text_journal,
             texts_due: time,
--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -30,16 +30,15 @@
 use crate::pool::TargetPool;
 use crate::state::StateCommand;
 use crate::turns::DutySubject;
+use crate::usage::CalendarWindow;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
 use bergamotlane_storage::clock::unix_ms;
 use bergamotlane_wire::body_end::BodyEnd;
 
-/// Delay from the end of a usage window until its counts are fixed, in milliseconds.
-const CLOSE_DELAY_MS: u64 = 2_500;
-
-/// Number of past usage windows that a leader still closes; older ones are skipped.
-const MAX_PAST_WINDOWS: u64 = 12;
+/// Delay from the end of a usage window until its counts are fixed, and from the start of a keeper until
+/// it takes the counts for known, in milliseconds. Entries send them over each new link.
+pub(super) const CLOSE_DELAY_MS: u64 = 2_500;
 
 /// Time limit for a request of a duty, including its response body.
 const DUTY_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -132,26 +131,29 @@
     }
 
     pub(super) fn run_duties(&mut self, time: ClockTime) {
-        self.close_windows();
+        self.close_windows(time);
         self.report_window(time);
     }
 
     /// Proposes the final counts of the next usage window that has ended.
-    fn close_windows(&mut self) {
-        let window_ms = self.settings.usage_window_ms.max(1);
-        let calendar_ms = unix_ms();
-        let current_window = calendar_ms / window_ms;
+    fn close_windows(&mut self, time: ClockTime) {
+        if time < self.usage_known_at {
+            return;
+        }
+        let calendar = CalendarWindow {
+            now_ms: unix_ms(),
+            window_ms: self.settings.usage_window_ms.max(1),
+        };
+        let last_closed = self.state.windows.keys().next_back().copied();
         let Some(lead) = &mut self.lead else {
             return;
         };
-        lead.next_window = lead
-            .next_window
-            .max(current_window.saturating_sub(MAX_PAST_WINDOWS));
-        let window = lead.next_window;
-        if calendar_ms < (window + 1) * window_ms + CLOSE_DELAY_MS {
+        let due = lead
+            .windows
+            .take_due(last_closed, &self.tally, calendar, CLOSE_DELAY_MS);
+        let Some(window) = due else {
             return;
-        }
-        lead.next_window += 1;
+        };
         if self.state.windows.contains_key(&window) {
             return;
         }
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -29,6 +29,7 @@
 use crate::starts::ReturnProofs;
 use crate::texts::TextKey;
 use crate::turns::TurnWait;
+use crate::usage::WindowCursor;
 use crate::weights::WeightPlanner;
 use crate::work::RunKey;
 use bergamotlane_coordination::clock::ClockTime;
@@ -36,7 +37,6 @@
 use bergamotlane_coordination::repair::RepairPlanner;
 use bergamotlane_policy::rate::RateLedger;
 use bergamotlane_storage::clock::now;
-use bergamotlane_storage::clock::unix_ms;
 
 /// Silence after which a voter is replaced, if a spare is available, in milliseconds.
 const VOTER_LOST_MS: u64 = 1_500;
@@ -119,8 +119,8 @@
     pub(super) helpers: SentHelpers,
     /// Services whose targets entries were sent.
     pub(super) sent_services: BTreeSet<String>,
-    /// Number of the next usage window to close.
-    pub(super) next_window: u64,
+    /// Usage windows to close.
+    pub(super) windows: WindowCursor,
     /// Usage window whose report is in progress.
     pub(super) reporting: Option<u64>,
     /// Earliest time for the next usage report.
@@ -166,8 +166,6 @@
         };
         let mut registry = TargetRegistry::default();
         registry.restore(time, self.last_targets.values());
-        let window = unix_ms() / self.settings.usage_window_ms.max(1);
-        let closed = self.state.windows.keys().next_back().map(|it| it + 1);
         self.lead = Some(LeaderState {
             term,
             active: false,
@@ -185,7 +183,7 @@
             changes: ViewChanges::default(),
             helpers: SentHelpers::default(),
             sent_services: BTreeSet::new(),
-            next_window: closed.unwrap_or(window),
+            windows: WindowCursor::default(),
             reporting: None,
             report_after: time,
             waits_logged: time,
