--- a/crates/service/tests/agenda.rs
+++ b/crates/service/tests/agenda.rs
@@ -35,8 +35,9 @@
 /// Event in the life of a group of keepers.
 #[derive(Debug, Clone)]
 enum Step {
-    /// A plan with routes to these services comes into force; a job without one has no route.
-    Plan(Vec<Option<&'static str>>, bool),
+    /// A plan with routes to these services and with these terms comes into force; a job without one
+    /// has no route.
+    Plan(Vec<Option<&'static str>>, Terms),
     Submit(u8),
     /// An engine with this many free slots begins to run items.
     Run(u32),
@@ -48,11 +49,30 @@
     Elect,
 }
 
+/// What a plan sets for the routes of all jobs.
+#[derive(Debug, Clone, Copy, Default)]
+struct Terms {
+    single_version: bool,
+    /// Whether the time to live, the due time and the number of attempts are the longer ones.
+    is_long: bool,
+    /// Whether the prefixes of the routes are longer than the paths of the jobs.
+    is_narrow: bool,
+}
+
+fn terms() -> impl Strategy<Value = Terms> {
+    let flags = (any::<bool>(), any::<bool>(), prop::bool::weighted(0.2));
+    flags.prop_map(|(single_version, is_long, is_narrow)| Terms {
+        single_version,
+        is_long,
+        is_narrow,
+    })
+}
+
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let service = prop::sample::select(vec![None, Some("llm"), Some("other")]);
     let step = prop_oneof![
-        3 => (prop::collection::vec(service, 3), any::<bool>())
-            .prop_map(|(routes, single)| Step::Plan(routes, single)),
+        3 => (prop::collection::vec(service, 3), terms())
+            .prop_map(|(routes, terms)| Step::Plan(routes, terms)),
         3 => (0_u8..3).prop_map(Step::Submit),
         2 => (1_u32..4).prop_map(Step::Run),
         2 => Just(Step::Complete),
@@ -63,11 +83,19 @@
     prop::collection::vec(step, 1..24)
 }
 
-fn route(job: usize, service: &str, single_version: bool) -> RouteRule {
+fn route(job: usize, service: &str, terms: Terms) -> RouteRule {
+    let path_prefix = match terms.is_narrow {
+        true => format!("/{job}/more/"),
+        false => format!("/{job}/"),
+    };
+    let (item_ttl_ms, result_deadline_ms, max_attempts) = match terms.is_long {
+        true => (40_000, 7_500, 3),
+        false => (30_000, 5_000, 2),
+    };
     RouteRule {
         name: format!("r{job}"),
         host: "desk.example".to_owned(),
-        path_prefix: format!("/{job}/"),
+        path_prefix,
         kind: RouteKind::Rollout,
         time_limit_ms: 10_000,
         latency_target_ms: 400,
@@ -76,12 +104,12 @@
             service: service.to_owned(),
             weight: 1,
         }],
-        max_attempts: 3,
+        max_attempts,
         is_open: false,
         is_resumable: true,
-        single_version,
-        item_ttl_ms: if single_version { 30_000 } else { 40_000 },
-        result_deadline_ms: 7_500,
+        single_version: terms.single_version,
+        item_ttl_ms,
+        result_deadline_ms,
     }
 }
 
@@ -231,10 +259,10 @@
 
 fn command_of(step: &Step, version: u64, leader: &mut Leader) -> Option<StateCommand> {
     match step {
-        Step::Plan(services, single) => {
+        Step::Plan(services, terms) => {
             let routes = services.iter().enumerate();
             let routes = routes
-                .filter_map(|(job, service)| Some(route(job, (*service)?, *single)))
+                .filter_map(|(job, service)| Some(route(job, (*service)?, *terms)))
                 .collect();
             let plan = RoutingPlan {
                 version,
@@ -284,7 +312,7 @@
 /// the leader began.
 #[test]
 fn a_job_whose_route_comes_back_is_in_the_scheduler_of_any_leader() {
-    let routes = |first| Step::Plan(vec![first, None, None], false);
+    let routes = |first| Step::Plan(vec![first, None, None], Terms::default());
     let steps = [
         routes(Some("llm")),
         Step::Submit(0),
@@ -298,7 +326,7 @@
 /// Guards against runs that are lost because their route is removed meanwhile.
 #[test]
 fn a_run_whose_route_is_removed_is_listed() {
-    let plan = |first| Step::Plan(vec![first, None, None], false);
+    let plan = |first| Step::Plan(vec![first, None, None], Terms::default());
     let mut leader = Leader::default();
     let steps = [plan(Some("llm")), Step::Submit(0), Step::Run(2), plan(None)];
     for (step, index) in steps.iter().zip(1..) {
