Don't run an item again in a later job that an engine rejected

Groups that were not complete come again under the same IDs, and nothing told a job that an engine had said in an earlier one that the item can never be done: it ran once in each job that carried it over.

Change: the result of an item that engines reported as faulty says so (ItemFault, a field that earlier builds skip). A carried-over item that was rejected in any retained job of its customer, or failed in three as often as its route allows, is listed as terminated at once.

--- a/crates/service/src/jobs.rs
+++ b/crates/service/src/jobs.rs
@@ -13,6 +13,10 @@
 use crate::payload_reads::read_payloads;
 use crate::work::PartialText;
 
+/// Number of jobs in which an item may fail as often as its route allows; a further one that carries it
+/// over doesn't run it.
+const MAX_FAILED_JOBS: usize = 3;
+
 /// Item of a batch job: a request for tokens that an engine runs later.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemSpec {
@@ -97,6 +101,15 @@
     Terminated,
 }
 
+/// What engines reported of an item that was given up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ItemFault {
+    /// It can never succeed.
+    Rejected,
+    /// It failed as often as its route allows.
+    Failed,
+}
+
 /// Result of an item, in the replicated state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ItemResult {
@@ -111,9 +124,20 @@
     /// Score of the text, if the item has a reward call and is completed.
     #[serde(default)]
     pub score: Option<String>,
+    /// Why the item was given up, if engines reported that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub fault: Option<ItemFault>,
 }
 
 impl ItemResult {
+    /// Returns the result of an item that was given up since engines reported a fault.
+    pub fn faulty(item: u32, fault: ItemFault) -> Self {
+        Self {
+            fault: Some(fault),
+            ..Self::terminated(item)
+        }
+    }
+
     /// Returns the result of an item that was given up.
     pub fn terminated(item: u32) -> Self {
         Self {
@@ -122,6 +146,7 @@
             text: PayloadRef::default(),
             versions: Vec::new(),
             score: None,
+            fault: None,
         }
     }
 
@@ -133,6 +158,7 @@
             text: text.text().into(),
             versions: text.versions,
             score,
+            fault: None,
         }
     }
 }
@@ -334,6 +360,28 @@
         others.flat_map(|(_, record)| record.submission.items.iter().map(|it| it.id.as_str()))
     }
 
+    /// Returns the fault for which an item must not run again, if any: an engine rejected it in some job
+    /// of the customer, or it failed in as many jobs as may run it.
+    pub fn lasting_fault(&self, customer: Option<&str>, item: &str) -> Option<ItemFault> {
+        let jobs = self.jobs.values();
+        let own = jobs.filter(|job| job.submission.customer.as_deref() == customer);
+        let results = own.flat_map(|job| job.results.iter().map(move |result| (job, result)));
+        let mut failed_jobs = 0;
+        for (job, result) in results {
+            let Some(fault) = result.fault else {
+                continue;
+            };
+            if job.submission.items[result.item as usize].id != item {
+                continue;
+            }
+            match fault {
+                ItemFault::Rejected => return Some(fault),
+                ItemFault::Failed => failed_jobs += 1,
+            }
+        }
+        (failed_jobs >= MAX_FAILED_JOBS).then_some(ItemFault::Failed)
+    }
+
     /// Removes jobs together with their results.
     pub fn forget(&mut self, ids: &[String]) {
         for id in ids {
--- a/crates/service/src/keeper/admit.rs
+++ b/crates/service/src/keeper/admit.rs
@@ -23,7 +23,7 @@
 struct JobStart {
     /// Items that have to run.
     open: Vec<ItemRank>,
-    /// Results of carried-over items that other jobs of the customer completed.
+    /// Results of carried-over items that other jobs of the customer completed or gave up for good.
     finished: Vec<ItemResult>,
     /// Partial texts to resume from, each with the index of its item in the submission.
     texts: Vec<(u32, PartialText)>,
@@ -152,6 +152,10 @@
                 });
                 continue;
             }
+            if is_carried && let Some(fault) = jobs.lasting_fault(customer, &item.id) {
+                start.finished.push(ItemResult::faulty(index, fault));
+                continue;
+            }
             let key = TextKey {
                 customer: record.submission.customer.clone(),
                 item: item.id.clone(),
--- a/crates/service/src/schedule.rs
+++ b/crates/service/src/schedule.rs
@@ -13,6 +13,7 @@
 
 use crate::closed_texts::ClosedTexts;
 use crate::engine_load::EngineLoad;
+use crate::jobs::ItemFault;
 use crate::jobs::ItemResult;
 use crate::order::ItemRank;
 use crate::order::latest_start;
@@ -409,10 +410,12 @@
                 let failures = queue.failures.entry(run.item).or_default();
                 *failures += 1;
                 if *failures >= queue.constraints.max_attempts {
-                    return Some((run.job, ItemResult::terminated(run.item)));
+                    return Some((run.job, ItemResult::faulty(run.item, ItemFault::Failed)));
                 }
             }
-            RunEnd::Rejected => return Some((run.job, ItemResult::terminated(run.item))),
+            RunEnd::Rejected => {
+                return Some((run.job, ItemResult::faulty(run.item, ItemFault::Rejected)));
+            }
             RunEnd::Refused | RunEnd::Misdirected | RunEnd::Unreachable => {}
         }
         queue.waiting.push_front(run.item);
--- a/crates/service/tests/growth.rs
+++ b/crates/service/tests/growth.rs
@@ -91,6 +91,7 @@
         text: payload(job, item, "text").into(),
         versions: vec![1],
         score: None,
+        fault: None,
     };
     let results = (0..ITEMS).map(|item| (job.to_owned(), result(item)));
     StateCommand::List(results.collect())
--- a/crates/service/tests/state/applied.rs
+++ b/crates/service/tests/state/applied.rs
@@ -8,6 +8,7 @@
 use rstest::rstest;
 
 use crate::support::inline;
+use crate::support::list;
 use crate::support::plan;
 use crate::support::resolved;
 use crate::support::result;
@@ -15,6 +16,7 @@
 use crate::support::submission;
 use crate::support::submit;
 use crate::support::submit_scored;
+use bergamotlane_service::jobs::ItemFault;
 use bergamotlane_service::jobs::ItemResult;
 use bergamotlane_service::jobs::RewardCall;
 use bergamotlane_service::payload::decode_command;
@@ -113,6 +115,7 @@
     state.apply(1, StateCommand::Submit(Box::new(first)));
     let scored = ItemResult {
         score: Some("stamp".to_owned()),
+        fault: None,
         ..result(0, "a")
     };
     state.apply(2, StateCommand::List(vec![("j".to_owned(), scored)]));
@@ -127,6 +130,34 @@
     assert_eq!(found(None), None);
 }
 
+/// Guards against an item that runs again in job after job although it can't succeed.
+#[rstest]
+#[case::rejected_once(&[ItemFault::Rejected], Some(ItemFault::Rejected))]
+#[case::failed_in_two_jobs(&[ItemFault::Failed; 2], None)]
+#[case::failed_in_three_jobs(&[ItemFault::Failed; 3], Some(ItemFault::Failed))]
+#[case::no_fault(&[], None)]
+fn a_fault_of_an_item_lasts_over_jobs(
+    #[case] faults: &[ItemFault],
+    #[case] expected: Option<ItemFault>,
+) {
+    let mut state = ServiceState::default();
+    let mut index = 0;
+    let mut apply = |command| {
+        index += 1;
+        state.apply(index, command);
+    };
+    apply(submit("given up", 2));
+    apply(list("given up", vec![ItemResult::terminated(0)]));
+    for (number, fault) in faults.iter().enumerate() {
+        let job = format!("job-{number}");
+        apply(submit(&job, 2));
+        apply(list(&job, vec![ItemResult::faulty(0, *fault)]));
+    }
+    assert_eq!(state.jobs.lasting_fault(Some("mint"), "i0"), expected);
+    assert_eq!(state.jobs.lasting_fault(Some("mint"), "i1"), None);
+    assert_eq!(state.jobs.lasting_fault(Some("ridge"), "i0"), None);
+}
+
 #[test]
 fn the_first_counts_of_a_closed_window_are_kept() {
     let mut state = ServiceState::default();
--- a/crates/service/tests/state/support.rs
+++ b/crates/service/tests/state/support.rs
@@ -62,6 +62,7 @@
         text: Bytes::copy_from_slice(text.as_bytes()).into(),
         versions: vec![1],
         score: None,
+        fault: None,
     }
 }
 
--- a/crates/service/tests/targets/kept.rs
+++ b/crates/service/tests/targets/kept.rs
@@ -147,6 +147,7 @@
         text: content("text", job, item).into(),
         versions: vec![1],
         score: None,
+        fault: None,
     };
     let results = (0..2).map(|it| (format!("job-{job}"), result(it)));
     LeaderCall::Change(StateCommand::List(results.collect()))
--- a/crates/service/tests/targets/readers.rs
+++ b/crates/service/tests/targets/readers.rs
@@ -155,6 +155,7 @@
         text: Bytes::from(vec![b'x'; TEXT_BYTES]).into(),
         versions: vec![1],
         score: None,
+        fault: None,
     };
     let list = StateCommand::List(vec![("job".to_owned(), result)]);
     let reply = call(&handle, LeaderCall::Change(list)).await;
@@ -204,6 +205,7 @@
         text: Bytes::from(vec![b'x'; 100]).into(),
         versions: vec![1],
         score: None,
+        fault: None,
     };
     let list = StateCommand::List(vec![("job".to_owned(), result)]);
     let reply = call(&handle, LeaderCall::Change(list)).await;
