Become another node if the data folder is another one

A voter that forgets a vote may elect two leaders in a term.

Change: a folder that names another node makes the keeper introduce itself anew: it adopts the ID, keeps the cluster, never founds a group, and all links end, those too that come up within a second and may bear the earlier ID. Peers then mark the earlier node as replaced, as after a restart without the folder. Ruled out: ending the process, which counts as an end by itself.

--- a/crates/service/src/keeper/bootstrap.rs
+++ b/crates/service/src/keeper/bootstrap.rs
@@ -16,6 +16,10 @@
 use bergamotlane_coordination::consensus::GroupMembership;
 use bergamotlane_coordination::consensus::MemberRecord;
 use bergamotlane_coordination::ident::NodeId;
+use bergamotlane_storage::FolderIdentity;
+
+/// Time within which a link is up on which this process has introduced itself, in milliseconds.
+const INTRODUCTION_LIMIT_MS: u64 = 1_000;
 
 /// Returns the initial members if every seed has introduced itself with the identity of its data
 /// folder, may bootstrap the group and belongs to no cluster yet.
@@ -58,13 +62,44 @@
         }
         self.hello.cluster = Some(cluster);
         self.hub.update_hello(|it| it.cluster = Some(cluster));
-        if let Some(voter) = &mut self.voter
+        self.store_cluster();
+    }
+
+    /// Stores the cluster ID in the data folder, if it is known.
+    pub(super) fn store_cluster(&mut self) {
+        if let (Some(cluster), Some(voter)) = (self.hello.cluster, &mut self.voter)
+            && voter.folder.identity().cluster != Some(cluster)
             && let Err(error) = voter.folder.set_cluster(cluster)
         {
             self.handle_storage_failure(&error);
         }
     }
 
+    /// Becomes the node that the data folder names, if it is another one than before. Links end, since
+    /// peers know them as those of the earlier node, whose votes the folder doesn't have.
+    pub(super) fn adopt_identity(&mut self, time: ClockTime, identity: FolderIdentity) {
+        let earlier = self.hello.node;
+        if earlier == Some(identity.node) {
+            return;
+        }
+        spdlog::warn!("storage: the data folder is another one", kv: {
+            node = identity.node,
+            earlier = earlier.unwrap_or_default(),
+        });
+        self.hello.node = Some(identity.node);
+        // The group exists, whatever an empty folder says.
+        self.hello.founds = false;
+        self.hub.update_hello(|it| {
+            it.node = Some(identity.node);
+            it.founds = false;
+        });
+        self.links_from = time + INTRODUCTION_LIMIT_MS;
+        for link in self.links.keys().copied().collect::<Vec<_>>() {
+            self.hub.close(link);
+            self.on_link_down(link);
+        }
+    }
+
     /// Bootstraps the group if this keeper may do so and every seed has introduced itself.
     pub(super) fn try_bootstrap(&mut self, time: ClockTime) {
         let Some(voter) = &self.voter else {
--- a/crates/service/src/keeper/core.rs
+++ b/crates/service/src/keeper/core.rs
@@ -141,6 +141,8 @@
     pub(super) ages: JobAges,
     /// Open links, each with the peer's introduction and whether this process dialled it.
     pub(super) links: BTreeMap<LinkId, (HelloFrame, bool)>,
+    /// Time from which a link that comes up names the node of the data folder.
+    pub(super) links_from: ClockTime,
     /// Known keepers, from which those to link to are chosen.
     pub(super) directory: KeeperDirectory,
     /// Time at which expired connections and calls are dropped next.
@@ -279,6 +281,7 @@
             routes: None,
             ages: JobAges::default(),
             links: BTreeMap::new(),
+            links_from: time,
             directory,
             prune_due: time,
             sent_members: GroupMembers::default(),
@@ -397,7 +400,12 @@
             Ok((folder, mut content)) => {
                 content.mark_replacement(false);
                 spdlog::info!("storage: data folder reopened");
+                self.adopt_identity(time, folder.identity());
                 self.voter = Some(open_voter(folder, content, time, &self.budget));
+                self.store_cluster();
+                if self.voter.is_none() {
+                    return;
+                }
                 self.state = ServiceState::default();
                 self.routes = None;
                 self.reset_snapshots();
--- a/crates/service/src/keeper/peers.rs
+++ b/crates/service/src/keeper/peers.rs
@@ -45,6 +45,10 @@
 
     pub(super) fn on_link_up(&mut self, link: LinkId, hello: HelloFrame, dialled: bool) {
         let time = now();
+        if time < self.links_from {
+            self.hub.close(link);
+            return;
+        }
         if let Some(cluster) = hello.cluster {
             self.join_cluster(cluster);
         }
--- a/crates/service/tests/targets/kept.rs
+++ b/crates/service/tests/targets/kept.rs
@@ -272,6 +272,45 @@
     assert!(reply.is_err());
 }
 
+/// Waits until a link is up, and returns the node at its other end.
+async fn next_node(events: &mut mpsc::UnboundedReceiver<LinkEvent>) -> Option<u64> {
+    let up = async {
+        loop {
+            if let LinkEvent::Up { hello, .. } = events.recv().await.unwrap() {
+                return hello.node;
+            }
+        }
+    };
+    timeout(EVENT_LIMIT, up).await.expect("no link is up")
+}
+
+/// Guards against a keeper whose data folder is gone and that goes on as the earlier node, though its votes
+/// and its log are forgotten.
+#[tokio::test]
+async fn a_keeper_whose_folder_vanishes_is_not_the_old_node_any_more() {
+    let parent = TempDir::new().unwrap();
+    let data = parent.path().join("data");
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let (keeper, hub) = start_at(address, &data, 1, 600_000);
+    tokio::spawn(hub.listen(listener));
+    let (sender, mut events) = mpsc::unbounded_channel();
+    let peer = LinkHub::new(hello("entry-1", "127.0.0.1:2".parse().unwrap()), sender);
+    peer.set_peers([address]);
+    let earlier = next_node(&mut events).await;
+    for job in 0..JOB_COUNT / 2 {
+        assert_eq!(call(&keeper, submit(job)).await, LeaderReply::Done);
+    }
+    fs::rename(&data, parent.path().join("gone")).unwrap();
+    // The item is on disk alone, so that reading it shows that the folder is gone.
+    let limit = now() + SHORT_LIMIT_MS;
+    let reply = keeper.leader.call(read_item(0, 2), limit).await;
+    assert!(reply.is_err(), "{reply:?}");
+    let later = next_node(&mut events).await;
+    assert!(later.is_some());
+    assert_ne!(later, earlier);
+}
+
 /// Answers a leader's messages as a keeper that has no log, until it is sent a snapshot.
 async fn receive_snapshot(
     hub: &LinkHub,
