--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -51,6 +51,7 @@
 pub mod run;
 pub mod schedule;
 pub mod scoring;
+mod silence;
 pub mod software;
 pub mod starts;
 pub mod state;
--- a/crates/service/src/pool.rs
+++ b/crates/service/src/pool.rs
@@ -24,6 +24,7 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::silence::SlowestAnswer;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
 
@@ -43,20 +44,10 @@
 /// Time limit for an idle connection to become ready for a request.
 const READY_LIMIT: Duration = Duration::from_millis(3);
 
-/// Time without an answer on a kept connection, and without one from its target on any other, after
-/// which the connections that are kept to that target may have gone silent.
-pub const SILENCE_LIMIT: Duration = Duration::from_millis(300);
-
-/// Longest such time, if answers have taken longer lately.
-const MAX_SILENCE_LIMIT: Duration = Duration::from_millis(600);
-
 /// Time from opening a connection to a target that stays silent until a request is sent again on it. A
 /// target that is only slow often answers within it.
 const REPEAT_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time for which it is kept how long the slowest answer took, in milliseconds.
-const SLOWEST_MEMORY_MS: u64 = 60_000;
-
 /// Time for which the time of a target's latest answer is kept, in milliseconds.
 const ANSWER_MEMORY_MS: u64 = 10_000;
 
@@ -137,30 +128,6 @@
     connected_at: ClockTime,
 }
 
-/// Answer that took longest of the latest ones.
-#[derive(Debug, Clone, Copy, Default)]
-struct SlowestAnswer {
-    took_ms: u64,
-    at: ClockTime,
-}
-
-impl SlowestAnswer {
-    fn record(&mut self, time: ClockTime, took_ms: u64) {
-        if took_ms >= self.took_ms || time.since(self.at) >= SLOWEST_MEMORY_MS {
-            *self = Self { took_ms, at: time };
-        }
-    }
-
-    /// Returns how long a target may take for an answer until its connections may have gone silent:
-    /// half as long again as the slowest answer took, within fixed bounds.
-    fn silence_limit(&self, time: ClockTime) -> Duration {
-        if time.since(self.at) >= SLOWEST_MEMORY_MS {
-            return SILENCE_LIMIT;
-        }
-        Duration::from_millis(self.took_ms * 3 / 2).clamp(SILENCE_LIMIT, MAX_SILENCE_LIMIT)
-    }
-}
-
 /// End of a request that was sent on a kept connection.
 enum KeptEnd {
     Answered(Response<Incoming>, SendRequest<Full<Bytes>>),
