--- a/crates/service/tests/targets/silent.rs
+++ b/crates/service/tests/targets/silent.rs
@@ -32,10 +32,6 @@
 /// Time that a target takes for a request, in milliseconds.
 const WORK_MS: u64 = 60;
 
-/// Time that a slow target takes for a request, in milliseconds: longer than a connection may be silent
-/// where nothing is known of its target.
-const SLOW_WORK_MS: u64 = 390;
-
 /// Number of requests to a slow target.
 const SLOW_COUNT: u32 = 4;
 
@@ -88,11 +84,14 @@
 }
 
 /// Guards against a target that is sent each request twice, the second time over a new connection, only
-/// since it takes longer than others.
+/// since it takes longer than a connection may be silent where nothing is known of its target.
+#[rstest]
+#[case::answers_before_the_request_is_sent_again(390)]
+#[case::is_known_to_be_slow(450)]
 #[tokio::test]
-async fn a_slow_target_is_sent_each_request_once() {
+async fn a_slow_target_is_sent_each_request_once(#[case] work_ms: u64) {
     let forwarder = forwarder(5_000);
-    let stub = StubTarget::start(StubBehaviour::Slow(SLOW_WORK_MS)).await;
+    let stub = StubTarget::start(StubBehaviour::Slow(work_ms)).await;
     forwarder
         .chooser()
         .update(now(), &[view("t0", stub.address)]);
