--- a/crates/policy/tests/cold.rs
+++ b/crates/policy/tests/cold.rs
@@ -61,7 +61,7 @@
     let late = START + 10_000;
     assert_eq!(take_all(&mut ledger, late, PermitClaim::Caller(0)), PER_S);
     ledger.set_cold(late + 100, "x", announced(2), PER_S);
-    let soon = late + COLD_WINDOW_MS - 1;
+    let soon = late + ARRIVAL_WINDOW_MS - 1;
     assert_eq!(take_all(&mut ledger, soon, PermitClaim::Caller(0)), 0);
 }
 
