review: number the cases anew for a graver one, and leave out the BUDGET case

The cases of the first start, the forgotten job, the tenants and the draining become 7, 8, 9 and 10. The scripts now also end what they started if they are ended themselves; the stand-ins lose what only the BUDGET case used, and get those of the next case.

--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -4,11 +4,24 @@
 set -u
 cd "$(dirname "$0")/../.."
 folder=review/8
-temporary=$(mktemp -d)
-trap 'rm -rf "$temporary"' EXIT
 stand_ins=review/standins-2/target/release/review-standins-2
 if [ ! -x "$stand_ins" ] || [ ! -x target/release/bergamotlane-platform ]; then
     echo "not built: the deploy file's build and review/build-2.sh come first" >&2
     exit 2
 fi
-"$stand_ins" tenants "$folder" "$temporary"
+temporary=$(mktemp -d)
+child=
+finish() {
+    # The list is there only if the stand-in was ended before the processes that it had started.
+    [ -n "$child" ] && kill -KILL "$child" 2>/dev/null
+    [ -f "$temporary/pids" ] && xargs -r kill -KILL <"$temporary/pids" 2>/dev/null
+    rm -rf "$temporary"
+}
+trap finish EXIT
+trap 'exit 2' INT TERM
+"$stand_ins" forgotten "$folder" "$temporary" &
+child=$!
+wait "$child"
+code=$?
+child=
+exit "$code"
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -3,7 +3,7 @@
 //! `review-standins-2 CASE FOLDER TEMPORARY`; exits with 1 if the rule was broken, 0 if it held, 2 if the
 //! case couldn't run. `TROUBLE=0` leaves the disruption out.
 
-mod budget;
+mod carry;
 mod drain;
 mod first_start;
 mod forgotten;
@@ -20,7 +20,7 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |it| it != "0");
     world::end_after(std::time::Duration::from_secs(110));
     let code = match case.as_str() {
-        "budget" => budget::run(folder, temporary, has_trouble),
+        "carry" => carry::run(folder, temporary, has_trouble),
         "forgotten" => forgotten::run(folder, temporary, has_trouble),
         "drain" => drain::run(folder, temporary, has_trouble),
         "first-start" => first_start::run(folder, temporary, has_trouble),
