--- a/review/standins-2/src/carry.rs
+++ b/review/standins-2/src/carry.rs
@@ -6,12 +6,14 @@
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
+use crate::http::Message;
 use crate::http::call;
 use crate::http::read_message;
 use crate::world::HEARTBEAT_MS;
@@ -42,6 +44,9 @@
 /// Time that an item takes.
 const ITEM_MS: u64 = 400;
 
+/// Time that a change of version takes.
+const LOAD_MS: u64 = 900;
+
 /// Slots of an engine.
 const CAPACITY: u64 = 64;
 
@@ -70,11 +75,15 @@
     started_at: AtomicU64,
     is_dark: AtomicBool,
     running: AtomicU64,
+    /// Version of the weights, the one that is being loaded, and the number of accepted orders.
+    weights: Mutex<(u64, Option<u64>, u64)>,
+    /// Newest version that the trainer has named.
+    newest: Arc<AtomicU64>,
     record: Arc<Record>,
 }
 
 impl FastEngine {
-    fn start(world: &World, number: u8) -> Arc<Self> {
+    fn start(world: &World, number: u8, newest: &Arc<AtomicU64>) -> Arc<Self> {
         let address: SocketAddr = format!("{}.{number}:{}", world.net, world.port + 6)
             .parse()
             .unwrap();
@@ -86,6 +95,8 @@
             started_at: AtomicU64::new(0),
             is_dark: AtomicBool::new(false),
             running: AtomicU64::new(0),
+            weights: Mutex::new((1, None, 0)),
+            newest: Arc::clone(newest),
             record: Arc::clone(&world.record),
         });
         let listener = TcpListener::bind(address).unwrap();
@@ -124,9 +135,10 @@
                     sequence += 1;
                     let start = self.starts.load(Ordering::SeqCst);
                     let body = format!(
-                        "{{\"service\":\"llm\",\"address\":\"{}\",\"zone\":\"z-a\",\"version\":\"v1\",\"capacity\":{CAPACITY},\"state\":\"ready\",\"cold-left-ms\":{},\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":1,\"adapters\":[]}}],\"sequence\":{sequence},\"born\":{}}}",
+                        "{{\"service\":\"llm\",\"address\":\"{}\",\"zone\":\"z-a\",\"version\":\"v1\",\"capacity\":{CAPACITY},\"state\":\"ready\",\"cold-left-ms\":{},\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":{},\"adapters\":[]}}],\"sequence\":{sequence},\"born\":{}}}",
                         self.address,
                         self.cold_left_ms(),
+                        self.weights.lock().unwrap().0,
                         1_700_000_000_000_u64 + start * 60_000
                     );
                     let path = format!("/-/instances/{id}");
@@ -151,10 +163,58 @@
         self.started_at.store(self.record.ms(), Ordering::SeqCst);
         self.starts.fetch_add(1, Ordering::SeqCst);
         self.running.store(0, Ordering::SeqCst);
+        // A new engine has the newest version, and knows nothing of earlier orders.
+        *self.weights.lock().unwrap() = (self.newest.load(Ordering::SeqCst), None, 0);
         self.is_dark.store(false, Ordering::SeqCst);
     }
 
-    fn serve(&self, stream: TcpStream) -> Option<()> {
+    /// Answers a report or an order, which takes [`LOAD_MS`]; runs go on under the new version.
+    fn answer_control(self: &Arc<Self>, request: &Message) -> String {
+        let mut weights = self.weights.lock().unwrap();
+        let mut status = "200 OK";
+        if request.start.starts_with("POST /-/order") {
+            let text = request.text();
+            let number = |name: &str| {
+                let rest = text.split(&format!("\"{name}\":")).nth(1)?;
+                let digits: String = rest.chars().take_while(char::is_ascii_digit).collect();
+                digits.parse::<u64>().ok()
+            };
+            let version = number("version").unwrap_or(0);
+            let differs = number("expect").is_some_and(|it| it != weights.2);
+            if version > self.newest.load(Ordering::SeqCst) {
+                status = "400 Bad Request";
+            } else if differs || weights.1.is_some() {
+                status = "409 Conflict";
+            } else if version != weights.0 {
+                status = "202 Accepted";
+                weights.1 = Some(version);
+                weights.2 += 1;
+                let engine = Arc::clone(self);
+                let own_start = self.starts.load(Ordering::SeqCst);
+                thread::spawn(move || {
+                    thread::sleep(Duration::from_millis(LOAD_MS));
+                    let mut weights = engine.weights.lock().unwrap();
+                    if engine.starts.load(Ordering::SeqCst) == own_start {
+                        weights.0 = version;
+                        weights.1 = None;
+                    }
+                });
+            }
+        }
+        let body = format!(
+            "{{\"stage\":\"both\",\"models\":[{{\"name\":\"m\",\"version\":{},\"adapters\":[]}}],\"busy\":{},\"sequence\":{},\"queue-depth\":0,\"running\":{},\"kv-used\":0,\"kv-total\":90000,\"handles\":0}}",
+            weights.0,
+            weights.1.is_some(),
+            weights.2,
+            self.running.load(Ordering::SeqCst)
+        );
+        format!(
+            "HTTP/1.1 {status}\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
+            body.len()
+        )
+    }
+
+    fn serve(self: &Arc<Self>, stream: TcpStream) -> Option<()> {
         stream.set_nodelay(true).ok()?;
         let mut writer = stream.try_clone().ok()?;
         let mut reader = BufReader::new(stream);
@@ -179,15 +239,6 @@
                     "HTTP/1.1 {status}\r\nx-bergamotlane-request-id: {id}\r\nx-bergamotlane-not-run: 1\r\ncontent-length: 0\r\n\r\n"
                 )
             };
-            if request.start.starts_with("GET /-/report") {
-                let body = "{\"stage\":\"both\",\"models\":[{\"name\":\"m\",\"version\":1,\"adapters\":[]}],\"busy\":false,\"sequence\":0,\"queue-depth\":0,\"running\":0,\"kv-used\":0,\"kv-total\":90000,\"handles\":0}";
-                let text = format!(
-                    "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: {}\r\n\r\n{body}",
-                    body.len()
-                );
-                writer.write_all(text.as_bytes()).ok()?;
-                continue;
-            }
             if request
                 .header("x-bergamotlane-expect-instance")
                 .is_some_and(|it| it != self.id())
@@ -197,6 +248,25 @@
                     .ok()?;
                 continue;
             }
+            if request.start.contains(" /-/") {
+                let text = self.answer_control(&request);
+                writer.write_all(text.as_bytes()).ok()?;
+                continue;
+            }
+            let (version, loading, _) = *self.weights.lock().unwrap();
+            let expected = request.header("x-bergamotlane-expect-version");
+            if expected.is_some_and(|it| it != version.to_string()) {
+                writer
+                    .write_all(refuse("421 Misdirected Request").as_bytes())
+                    .ok()?;
+                continue;
+            }
+            if loading.is_some() {
+                writer
+                    .write_all(refuse("503 Service Unavailable").as_bytes())
+                    .ok()?;
+                continue;
+            }
             if self.running.fetch_add(1, Ordering::SeqCst) >= CAPACITY {
                 self.running.fetch_sub(1, Ordering::SeqCst);
                 writer
@@ -209,9 +279,11 @@
                 return None;
             }
             self.running.fetch_sub(1, Ordering::SeqCst);
+            // The only event is made now, under the version of now.
+            let version = self.weights.lock().unwrap().0;
             let event = format!("id: 1\ndata: {id} whole\n\n");
             let text = format!(
-                "HTTP/1.1 200 OK\r\nx-bergamotlane-request-id: {id}\r\nx-bergamotlane-server-stamp: s.{id}\r\nx-bergamotlane-weight-versions: 1\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\nx-bergamotlane-request-id: {id}\r\nx-bergamotlane-server-stamp: s.{id}\r\nx-bergamotlane-weight-versions: {version}\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n{:x}\r\n{event}\r\n0\r\n\r\n",
                 event.len()
             );
             writer.write_all(text.as_bytes()).ok()?;
@@ -266,7 +338,8 @@
         .collect();
     let desired = samples.len() / GROUP;
     format!(
-        "{{\"train-step\":{step},\"model\":\"m\",\"desired\":{desired},\"min-version\":1,\"items\":[{}]}}",
+        "{{\"train-step\":{step},\"model\":\"m\",\"desired\":{desired},\"min-version\":{},\"items\":[{}]}}",
+        step.max(1),
         items.join(",")
     )
 }
@@ -300,9 +373,10 @@
     let mut world = World::new(folder, temporary);
     world.start_all(2);
     let record = Arc::clone(&world.record);
+    let newest = Arc::new(AtomicU64::new(1));
     let engines: Vec<Arc<FastEngine>> = ENGINES
         .iter()
-        .map(|it| FastEngine::start(&world, *it))
+        .map(|it| FastEngine::start(&world, *it, &newest))
         .collect();
     if world
         .order("PUT", "/-/config", &plan(3), 1, Duration::from_secs(20))
@@ -357,6 +431,18 @@
             "end",
             "",
         );
+        // It trains, and names the next version: engines begin with 1, and step k asks for k and newer.
+        thread::sleep(Duration::from_millis(500));
+        let version = step as u64 + 2;
+        newest.store(version, Ordering::SeqCst);
+        let body = format!("{{\"model\":\"m\",\"version\":{version}}}");
+        let limit = Duration::from_secs(8);
+        if world
+            .order("POST", "/-/version-put", &body, 1, limit)
+            .is_none()
+        {
+            return 2;
+        }
         // Groups that were not complete come again, with all their items, as at most half of the next step.
         let mut groups: Vec<usize> = missing.iter().map(|it| it / GROUP).collect();
         groups.dedup();
@@ -365,7 +451,6 @@
             .iter()
             .flat_map(|it| it * GROUP..(it + 1) * GROUP)
             .collect();
-        thread::sleep(Duration::from_millis(500));
     }
     record.line(&format!(
         "trainer: carries {} groups over",
