service: keep what targets say while the plan lacks their service

What callers saw: a target that had confirmed its drain got their requests later than drain-ms, once the service was back in the plan.

Cause: the leader confirmed an announcement whose service the plan in force lacks, and dropped it; the registry still had the target as ready. A DELETE of a target that the leader doesn't know was confirmed and dropped as well, whatever the plan says, so that a late announcement brought the target in.

Change: all messages pass through TargetStarts whatever the plan says. A drain or departure is committed before it is confirmed; a departure of an unknown start counts for whichever start announces itself next, until its announcements go on. What may come from another sender doesn't take a target of the plan out, and is bounded apart from those.

--- a/crates/service/src/fleet.rs
+++ b/crates/service/src/fleet.rs
@@ -97,7 +97,8 @@
 /// What decides for all targets whether and how far they get items.
 #[derive(Debug, Default, PartialEq, Eq)]
 struct FleetRules {
-    has_plan: bool,
+    /// Names of the services in the plan in force, if any.
+    services: Option<BTreeSet<String>>,
     /// Names of the services that callers' requests may go to.
     caller_services: BTreeSet<String>,
     evacuated: BTreeSet<String>,
@@ -109,11 +110,18 @@
         let plain = routes.filter(|it| it.kind != RouteKind::Rollout);
         let shares = plain.flat_map(|it| &it.shares).filter(|it| it.weight > 0);
         Self {
-            has_plan: sources.plan.is_some(),
+            services: sources
+                .plan
+                .map(|plan| plan.services.iter().map(|it| it.name.clone()).collect()),
             caller_services: shares.map(|it| it.service.clone()).collect(),
             evacuated: sources.evacuated.clone(),
         }
     }
+
+    /// Returns whether the plan in force has a service; without a plan, all count.
+    fn has_service(&self, name: &str) -> bool {
+        self.services.as_ref().is_none_or(|it| it.contains(name))
+    }
 }
 
 /// Engines as the scheduler and the weight planner see them. An update costs time for what has
@@ -169,7 +177,7 @@
         for (id, entry) in sources.registry.iter() {
             self.slots.extend(self.slot(time, sources, id, entry));
             self.weight_targets
-                .extend(model_targets(sources, id, entry));
+                .extend(self.model_targets(sources, id, entry));
             if is_timed(time, sources, id, entry) {
                 self.timed.insert(id.clone());
             }
@@ -194,7 +202,7 @@
             (Err(index), Some(slot)) => self.slots.insert(index, slot),
             (Err(_), None) => {}
         }
-        let targets = entry.map(|it| model_targets(sources, id, it));
+        let targets = entry.map(|it| self.model_targets(sources, id, it));
         let first = self
             .weight_targets
             .partition_point(|it| it.id.as_str() < id);
@@ -218,7 +226,7 @@
         entry: &TargetEntry,
     ) -> Option<EngineSlot> {
         let announcement = &entry.announcement;
-        if !self.rules.has_plan
+        if self.rules.services.is_none()
             || entry.stage != TargetStage::Ready
             || announcement.models.is_empty()
             || self.rules.evacuated.contains(&announcement.zone)
@@ -242,6 +250,36 @@
         })
     }
 
+    /// Returns the models of an engine, as targets of weight orders; none unless it is ready and the plan
+    /// has its service.
+    fn model_targets(
+        &self,
+        sources: &FleetSources<'_>,
+        id: &str,
+        entry: &TargetEntry,
+    ) -> Vec<WeightTarget> {
+        let announcement = &entry.announcement;
+        if entry.stage != TargetStage::Ready || !self.rules.has_service(&announcement.service) {
+            return Vec::new();
+        }
+        let born = announcement.born;
+        let order = sources.accepted_orders.get(id);
+        let order = order.filter(|it| it.born == born);
+        let models = announcement.models.iter();
+        models
+            .map(|(model, version)| {
+                let ordered = order.filter(|it| it.model == *model);
+                WeightTarget {
+                    id: id.to_owned(),
+                    born,
+                    model: model.clone(),
+                    version: ordered.map_or(0, |it| it.version).max(*version),
+                    is_busy: false,
+                }
+            })
+            .collect()
+    }
+
     /// Returns the ready engines outside evacuated zones, with their limits and usable models, in the
     /// order of their IDs; none while there is no plan.
     pub fn slots(&self) -> &[EngineSlot] {
@@ -277,29 +315,6 @@
     }
 }
 
-/// Returns the models of an engine, as targets of weight orders; none unless it is ready.
-fn model_targets(sources: &FleetSources<'_>, id: &str, entry: &TargetEntry) -> Vec<WeightTarget> {
-    if entry.stage != TargetStage::Ready {
-        return Vec::new();
-    }
-    let born = entry.announcement.born;
-    let order = sources.accepted_orders.get(id);
-    let order = order.filter(|it| it.born == born);
-    let models = entry.announcement.models.iter();
-    models
-        .map(|(model, version)| {
-            let ordered = order.filter(|it| it.model == *model);
-            WeightTarget {
-                id: id.to_owned(),
-                born,
-                model: model.clone(),
-                version: ordered.map_or(0, |it| it.version).max(*version),
-                is_busy: false,
-            }
-        })
-        .collect()
-}
-
 /// Returns whether the slot of an engine may change without a change in the registry.
 fn is_timed(time: ClockTime, sources: &FleetSources<'_>, id: &str, entry: &TargetEntry) -> bool {
     entry.rate_limit.is_some()
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -185,12 +185,9 @@
         }
     }
 
-    /// Records what a target announces, unless the plan in force has no such service.
+    /// Records what a target announces, whether or not the plan in force has its service.
     fn announce(&mut self, announcement: TargetAnnouncement, origin: CallOrigin) {
-        if !self.state.has_service(&announcement.service) {
-            self.reply(origin, self.announced(&announcement.id));
-            return;
-        }
+        let is_served = self.state.has_service(&announcement.service);
         let Some(mut starts) = self.target_starts() else {
             return;
         };
@@ -199,8 +196,19 @@
         let draining = announcement.is_draining;
         let software = announcement.software.clone().unwrap_or_default();
         let outcome = starts.announce(now(), announcement);
+        if outcome.is_refused {
+            spdlog::warn!("target: announcement refused, it names a service out of the plan", kv: { target = id, born });
+            self.reply(origin, LeaderReply::Missing);
+            return;
+        }
         if outcome.effect == AnnouncementEffect::Changed {
-            spdlog::info!("target: changed", kv: { target = id, software = software.as_str(), draining });
+            spdlog::info!("target: changed", kv: {
+                target = id,
+                born,
+                software = software.as_str(),
+                draining,
+                is_served,
+            });
         }
         if outcome.is_back {
             spdlog::warn!("target: runs on after a departure that was not its own", kv: { target = id, born });
@@ -258,12 +266,13 @@
         let Some(mut starts) = self.target_starts() else {
             return;
         };
-        let Some(outcome) = starts.depart(now(), id) else {
-            self.reply(origin, LeaderReply::Done);
-            return;
-        };
-        spdlog::info!("target: left", kv: { target = id });
-        self.push_views();
+        let outcome = starts.depart(now(), id);
+        let is_known = outcome.effect == AnnouncementEffect::Changed;
+        let is_repeated = outcome.command.is_none();
+        spdlog::info!("target: left", kv: { target = id, is_known, is_repeated });
+        if is_known {
+            self.push_views();
+        }
         self.confirm(outcome.command, origin);
     }
 
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -370,15 +370,8 @@
 
     /// Applies to the registry which targets have left or drain, as committed under any leader.
     fn mark_leaving_targets(&mut self) {
-        let time = now();
-        if let Some(lead) = &mut self.lead {
-            for (id, leaving) in &self.state.leaving {
-                let departed = leaving.departed;
-                lead.registry.mark_leaving(time, id, leaving.born, departed);
-            }
-            for (id, born) in self.leaving.iter() {
-                lead.registry.mark_leaving(time, id, born, false);
-            }
+        if let Some(mut starts) = self.target_starts() {
+            starts.apply_leaving(now());
         }
     }
 }
--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -155,17 +155,29 @@
         self.changes.record_routing(id);
     }
 
-    /// Applies an announcement and returns its effect.
+    /// Applies an announcement and returns its effect; all services count as those of the plan in force.
     pub fn announce(
         &mut self,
         now: ClockTime,
         announcement: TargetAnnouncement,
     ) -> AnnouncementEffect {
-        if self.is_outdated(&announcement) {
+        self.announce_among(now, announcement, |_| true)
+    }
+
+    /// Applies an announcement and returns its effect. `is_served` tells whether the plan in force has a
+    /// service. Of two targets at one address, one of a service in the plan doesn't give way to one of
+    /// another service, whose announcement may come from a sender that the deployment doesn't know.
+    pub fn announce_among(
+        &mut self,
+        now: ClockTime,
+        announcement: TargetAnnouncement,
+        is_served: impl Fn(&str) -> bool,
+    ) -> AnnouncementEffect {
+        if self.is_outdated(&announcement, &is_served) {
             return AnnouncementEffect::Ignored;
         }
         if !self.owns_address(&announcement) {
-            self.remove_predecessors(&announcement);
+            self.remove_predecessors(&announcement, &is_served);
         }
         let stage = match announcement.is_draining {
             true => TargetStage::Draining,
@@ -239,9 +251,16 @@
     }
 
     /// Removes other targets at the address of a newer one; they no longer run.
-    fn remove_predecessors(&mut self, announcement: &TargetAnnouncement) {
+    fn remove_predecessors(
+        &mut self,
+        announcement: &TargetAnnouncement,
+        is_served: &impl Fn(&str) -> bool,
+    ) {
+        let newer_is_served = is_served(&announcement.service);
         let replaced = self.entries.extract_if(.., |id, entry| {
-            *id != announcement.id && entry.announcement.address == announcement.address
+            *id != announcement.id
+                && entry.announcement.address == announcement.address
+                && (newer_is_served || !is_served(&entry.announcement.service))
         });
         let replaced: Vec<String> = replaced.map(|(id, _)| id).collect();
         for id in &replaced {
@@ -251,7 +270,11 @@
 
     /// Returns whether an announcement is outdated: its target departed, a newer announcement was
     /// applied, or a newer target has taken over the address.
-    fn is_outdated(&self, announcement: &TargetAnnouncement) -> bool {
+    fn is_outdated(
+        &self,
+        announcement: &TargetAnnouncement,
+        is_served: &impl Fn(&str) -> bool,
+    ) -> bool {
         if let Some((born, _)) = self.departed.get(&announcement.id)
             && announcement.born <= *born
         {
@@ -267,10 +290,12 @@
         if self.owns_address(announcement) {
             return false;
         }
+        let older_is_served = is_served(&announcement.service);
         self.entries.values().any(|it| {
             it.announcement.id != announcement.id
                 && it.announcement.address == announcement.address
                 && it.announcement.born > announcement.born
+                && (!older_is_served || is_served(&it.announcement.service))
         })
     }
 
@@ -286,6 +311,11 @@
         true
     }
 
+    /// Returns whether a target with this ID departed within the last minutes, as this leader knows.
+    pub fn has_departed(&self, id: &str) -> bool {
+        self.departed.contains_key(id)
+    }
+
     /// Accepts announcements of a departed target again.
     pub fn readmit(&mut self, id: &str) {
         self.departed.remove(id);
--- a/crates/service/src/starts.rs
+++ b/crates/service/src/starts.rs
@@ -5,7 +5,11 @@
 //! number, so that a message of an earlier start does not act on a later one. A departure names no
 //! start. If it takes out a start that had not said that it drains and that follows an earlier start, it
 //! may be the late departure of the earlier one; the target comes back once its announcements have
-//! gone on for longer than a message can be late, see [`ReturnProofs`].
+//! gone on for longer than a message can be late, see [`ReturnProofs`]. The same holds for a departure
+//! of a target that this leader doesn't know.
+//!
+//! Whether the plan in force has a target's service decides only whether the target is used. What its
+//! messages say is kept either way, since the service may be in the next plan.
 
 use std::collections::BTreeMap;
 
@@ -33,6 +37,10 @@
 /// Number of targets from which on proofs that no announcement continues are dropped.
 const MAX_PROOFS: usize = 1_024;
 
+/// Largest number of targets in the registry whose services are not in the plan in force, from which on
+/// no further one is added.
+const MAX_UNSERVED_TARGETS: usize = 1_024;
+
 /// Announcements of one start since its departure.
 #[derive(Debug, Clone, Copy)]
 struct ReturnProof {
@@ -104,6 +112,8 @@
     pub effect: AnnouncementEffect,
     /// Whether the target is back after a departure that was not its own.
     pub is_back: bool,
+    /// Whether the message was refused, since it can't come from the target: it must not be confirmed.
+    pub is_refused: bool,
     /// Command that every later leader has to know before the message is confirmed.
     pub command: Option<StateCommand>,
 }
@@ -113,6 +123,7 @@
         Self {
             effect,
             is_back: false,
+            is_refused: false,
             command: None,
         }
     }
@@ -132,23 +143,46 @@
 }
 
 impl TargetStarts<'_> {
+    /// Applies to the registry which targets have left or drain, as committed under any leader. A leader
+    /// begins with it.
+    pub fn apply_leaving(&mut self, now: ClockTime) {
+        for (id, leaving) in &self.state.leaving {
+            match leaving.any_start {
+                true => drop(self.registry.depart(now, id)),
+                false => self
+                    .registry
+                    .mark_leaving(now, id, leaving.born, leaving.departed),
+            }
+        }
+        for (id, born) in self.marks.iter() {
+            self.registry.mark_leaving(now, id, born, false);
+        }
+    }
+
     /// Applies an announcement, unless it is late.
     pub fn announce(&mut self, now: ClockTime, announcement: TargetAnnouncement) -> StartOutcome {
+        if self.is_foreign(&announcement) {
+            return StartOutcome {
+                is_refused: true,
+                ..StartOutcome::of(AnnouncementEffect::Ignored)
+            };
+        }
         let start = announcement.leaving_start();
         let (id, born) = (start.id.as_str(), start.born);
         if announcement.is_draining {
             self.returns.forget(id);
-            let effect = self.registry.announce(now, announcement);
+            let is_served = self.state.has_service(&announcement.service);
+            let effect = self.register(now, announcement);
             return StartOutcome {
-                command: self.leave_command(&start, false),
+                command: self.leave_command(&start, false, is_served),
                 ..StartOutcome::of(effect)
             };
         }
         if self.marks.contains(id, born) || self.state.has_left_for_good(id, born) {
             return StartOutcome::of(AnnouncementEffect::Ignored);
         }
-        if !self.state.is_leaving(id, born, true) {
-            return StartOutcome::of(self.registry.announce(now, announcement));
+        if !self.state.may_have_departed(id, born) {
+            return StartOutcome::of(self.register(now, announcement));
         }
         if !self.returns.observe(now, &announcement) {
             return StartOutcome::of(AnnouncementEffect::Ignored);
@@ -157,10 +191,42 @@
         self.registry.readmit(id);
         let LeavingStart { id, born } = start;
         StartOutcome {
-            effect: self.registry.announce(now, announcement),
             is_back: true,
             command: Some(StateCommand::ReturnTarget { id, born }),
+            ..StartOutcome::of(self.register(now, announcement))
+        }
+    }
+
+    /// Returns whether an announcement gives a target of the plan in force a service that the plan
+    /// doesn't have. Its sender is another one.
+    fn is_foreign(&self, announcement: &TargetAnnouncement) -> bool {
+        let known = self.registry.get(&announcement.id);
+        known.is_some_and(|it| {
+            it.announcement.service != announcement.service
+                && self.state.has_service(&it.announcement.service)
+                && !self.state.has_service(&announcement.service)
+        })
+    }
+
+    /// Applies an announcement to the registry, unless there is no room for its target.
+    fn register(&mut self, now: ClockTime, announcement: TargetAnnouncement) -> AnnouncementEffect {
+        if !self.has_room(&announcement) {
+            return AnnouncementEffect::Ignored;
         }
+        let state = self.state;
+        let is_served = |service: &str| state.has_service(service);
+        self.registry.announce_among(now, announcement, is_served)
+    }
+
+    /// Returns whether a target may be added to the registry. One of a service in the plan always may.
+    fn has_room(&self, announcement: &TargetAnnouncement) -> bool {
+        let is_served = |service: &str| self.state.has_service(service);
+        if is_served(&announcement.service) || self.registry.get(&announcement.id).is_some() {
+            return true;
+        }
+        let entries = self.registry.iter();
+        let unserved = entries.filter(|(_, it)| !is_served(&it.announcement.service));
+        unserved.count() < MAX_UNSERVED_TARGETS
     }
 
     /// Applies a sign of life that a keeper has taken, unless it is late.
@@ -175,16 +241,39 @@
         self.registry.beat(now, beat, reporter)
     }
 
-    /// Removes a target that leaves, as its known start. Returns `None` if it is not known.
-    pub fn depart(&mut self, now: ClockTime, id: &str) -> Option<StartOutcome> {
+    /// Removes a target that leaves, as its known start. If none is known, the departure counts for
+    /// whichever start announces itself next, unless it repeats an earlier one.
+    pub fn depart(&mut self, now: ClockTime, id: &str) -> StartOutcome {
         self.returns.forget(id);
-        let announcement = &self.registry.get(id)?.announcement;
-        let start = announcement.leaving_start();
-        let command = self.leave_command(&start, true);
+        let Some(entry) = self.registry.get(id) else {
+            return StartOutcome {
+                command: self.unknown_departure(id),
+                ..StartOutcome::of(AnnouncementEffect::Ignored)
+            };
+        };
+        let start = entry.announcement.leaving_start();
+        let is_served = self.state.has_service(&entry.announcement.service);
+        let command = self.leave_command(&start, true, is_served);
         self.registry.depart(now, id);
-        Some(StartOutcome {
+        StartOutcome {
             command,
             ..StartOutcome::of(AnnouncementEffect::Changed)
+        }
+    }
+
+    /// Returns the command that records the departure of a target that is not known, unless it repeats
+    /// an earlier one.
+    fn unknown_departure(&self, id: &str) -> Option<StateCommand> {
+        if self.registry.has_departed(id) || self.state.has_departed_unknown(id) {
+            return None;
+        }
+        Some(StateCommand::LeaveTarget {
+            id: id.to_owned(),
+            born: 0,
+            departed: true,
+            follows: false,
+            unserved: true,
+            any_start: true,
         })
     }
 
@@ -200,14 +289,22 @@
             true => AnnouncementEffect::Changed,
             false => AnnouncementEffect::Ignored,
         };
+        let known = self.registry.get(&start.id);
+        let is_served = known.is_none_or(|it| self.state.has_service(&it.announcement.service));
         StartOutcome {
-            command: self.leave_command(start, false),
+            command: self.leave_command(start, false, is_served),
             ..StartOutcome::of(effect)
         }
     }
 
-    /// Returns the command that records that a start leaves, unless the state has it.
-    fn leave_command(&self, start: &LeavingStart, departed: bool) -> Option<StateCommand> {
+    /// Returns the command that records that a start leaves, unless the state has it. `is_served` tells
+    /// whether the plan in force has the target's service.
+    fn leave_command(
+        &self,
+        start: &LeavingStart,
+        departed: bool,
+        is_served: bool,
+    ) -> Option<StateCommand> {
         let LeavingStart { id, born } = start.clone();
         if self.state.is_leaving(&id, born, departed) {
             return None;
@@ -217,6 +314,8 @@
             id,
             born,
             departed,
+            unserved: !is_served,
+            any_start: false,
         })
     }
 }
--- a/crates/service/src/state.rs
+++ b/crates/service/src/state.rs
@@ -24,7 +24,8 @@
 /// Number of closed usage windows that the state retains.
 const MAX_CLOSED_WINDOWS: usize = 64;
 
-/// Number of leaving targets that the state retains.
+/// Number of leaving targets that the state retains, of those whose service was in the plan and of the
+/// others.
 const MAX_LEAVING_TARGETS: usize = 1_024;
 
 /// Command that changes the replicated state.
@@ -86,6 +87,12 @@
         /// Whether an earlier start of the target is known.
         #[serde(default)]
         follows: bool,
+        /// Whether the target is unknown, or its service is not in the plan in force.
+        #[serde(default)]
+        unserved: bool,
+        /// Whether the target's start is unknown, so that `born` says nothing.
+        #[serde(default)]
+        any_start: bool,
     },
     /// Records that a start of a target runs although a departure was recorded for it.
     ReturnTarget {
@@ -109,6 +116,13 @@
     /// not said that it drains.
     #[serde(default)]
     pub may_return: bool,
+    /// Whether the target was unknown or its service not in the plan when this was recorded. Such
+    /// targets don't take the place of others.
+    #[serde(default)]
+    pub unserved: bool,
+    /// Whether a start departed that was not known, which may be any later one than `born`.
+    #[serde(default)]
+    pub any_start: bool,
 }
 
 /// Closed usage window.
@@ -238,7 +252,21 @@
                 born,
                 departed,
                 follows,
-            } => self.record_leaving(index, id, born, departed, follows),
+                unserved,
+                any_start: false,
+            } => self.record_leaving(
+                id,
+                follows,
+                LeavingTarget {
+                    born,
+                    departed,
+                    index,
+                    may_return: false,
+                    unserved,
+                    any_start: false,
+                },
+            ),
+            StateCommand::LeaveTarget { id, .. } => self.record_unknown_departure(index, id),
             StateCommand::ReturnTarget { id, born } => self.record_return(index, &id, born),
         }
     }
@@ -256,25 +284,57 @@
         known.is_some_and(|it| it.born > born || (it.born == born && !it.may_return))
     }
 
-    fn record_leaving(&mut self, index: u64, id: String, born: u64, departed: bool, follows: bool) {
-        if self.is_leaving(&id, born, departed) {
+    /// Returns whether a departure of a target is recorded that was that of an unknown start.
+    pub fn has_departed_unknown(&self, id: &str) -> bool {
+        self.leaving.get(id).is_some_and(|it| it.any_start)
+    }
+
+    /// Returns whether a departure is recorded that may have been that of this start.
+    pub fn may_have_departed(&self, id: &str, born: u64) -> bool {
+        self.is_leaving(id, born, true) || self.has_departed_unknown(id)
+    }
+
+    /// Records how a start leaves, unless that is known. `follows` tells whether the leader knew an
+    /// earlier start.
+    fn record_leaving(&mut self, id: String, follows: bool, mut target: LeavingTarget) {
+        if self.is_leaving(&id, target.born, target.departed) {
             return;
         }
         let known = self.leaving.get(&id);
-        let has_drained = known.is_some_and(|it| it.born == born);
-        let follows = follows || known.is_some_and(|it| it.born < born);
+        let has_drained = known.is_some_and(|it| it.born == target.born);
+        let follows = follows || known.is_some_and(|it| it.born < target.born);
+        target.may_return = target.departed && follows && !has_drained;
+        self.insert_leaving(id, target);
+    }
+
+    /// Records that an unknown start departed. What is known of an earlier one stays.
+    fn record_unknown_departure(&mut self, index: u64, id: String) {
+        if let Some(known) = self.leaving.get_mut(&id) {
+            known.any_start = true;
+            known.index = index;
+            return;
+        }
         let target = LeavingTarget {
-            born,
-            departed,
+            born: 0,
+            departed: true,
             index,
-            may_return: departed && follows && !has_drained,
+            may_return: true,
+            unserved: true,
+            any_start: true,
         };
+        self.insert_leaving(id, target);
+    }
+
+    /// Adds a leaving target, in place of the oldest one of its class if there are too many.
+    fn insert_leaving(&mut self, id: String, target: LeavingTarget) {
+        let unserved = target.unserved;
         self.leaving.insert(id, target);
-        while self.leaving.len() > MAX_LEAVING_TARGETS {
-            let oldest = self.leaving.iter().min_by_key(|(_, it)| it.index);
-            let Some(id) = oldest.map(|(id, _)| id.clone()) else {
-                return;
-            };
+        let class = || self.leaving.iter().filter(|it| it.1.unserved == unserved);
+        if class().count() <= MAX_LEAVING_TARGETS {
+            return;
+        }
+        let oldest = class().min_by_key(|(_, it)| it.index);
+        if let Some(id) = oldest.map(|(id, _)| id.clone()) {
             self.leaving.remove(&id);
         }
     }
@@ -282,12 +342,17 @@
     /// Replaces the departure of a start by that of all earlier ones.
     fn record_return(&mut self, index: u64, id: &str, born: u64) {
         let known = self.leaving.get_mut(id);
-        if let Some(known) = known.filter(|it| it.born == born && it.may_return) {
+        let is_undone = |it: &&mut LeavingTarget| {
+            (it.born == born && it.may_return) || (it.any_start && it.born <= born)
+        };
+        if let Some(known) = known.filter(is_undone) {
             *known = LeavingTarget {
                 born: born.saturating_sub(1),
                 departed: true,
                 index,
                 may_return: false,
+                any_start: false,
+                ..*known
             };
         }
     }
--- a/crates/service/tests/starts.rs
+++ b/crates/service/tests/starts.rs
@@ -3,21 +3,21 @@
 
 #[path = "common/announcements.rs"]
 mod announcements;
-
-use std::collections::BTreeMap;
+#[path = "common/leader.rs"]
+mod leader;
 
 use proptest::prelude::*;
 use rstest::rstest;
 
+use crate::leader::EARLIER;
+use crate::leader::LATER;
+use crate::leader::Leader;
+use crate::leader::Message;
+use crate::leader::Message::Departure;
+use crate::leader::Message::Draining;
+use crate::leader::Message::Ready;
+use crate::leader::Message::SaysLeaving;
 use bergamotlane_coordination::clock::ClockTime;
-use bergamotlane_service::leaving::LeavingMarks;
-use bergamotlane_service::leaving::LeavingStart;
-use bergamotlane_service::registry::TargetAnnouncement;
-use bergamotlane_service::registry::TargetRegistry;
-use bergamotlane_service::registry::TargetStage;
-use bergamotlane_service::starts::ReturnProofs;
-use bergamotlane_service::starts::TargetStarts;
-use bergamotlane_service::state::ServiceState;
 
 const START: ClockTime = ClockTime(100_000);
 
@@ -30,89 +30,6 @@
 /// Time within which a target that runs must be in use again, in milliseconds.
 const RETURN_MS: u64 = 7_200;
 
-/// Start times of two starts of a target under one ID.
-const EARLIER: u64 = 10;
-const LATER: u64 = 20;
-
-/// Message about the target.
-#[derive(Debug, Clone, Copy, PartialEq)]
-enum Message {
-    Ready { born: u64, sequence: u64 },
-    Draining { born: u64, sequence: u64 },
-    SaysLeaving { born: u64 },
-    Departure,
-}
-
-use Message::Departure;
-use Message::Draining;
-use Message::Ready;
-use Message::SaysLeaving;
-
-/// Leader's knowledge of the target, and the committed state.
-#[derive(Default)]
-struct Leader {
-    registry: TargetRegistry,
-    returns: ReturnProofs,
-    marks: LeavingMarks,
-    state: ServiceState,
-}
-
-impl Leader {
-    fn deliver(&mut self, now: ClockTime, message: Message) {
-        let mut starts = TargetStarts {
-            registry: &mut self.registry,
-            returns: &mut self.returns,
-            marks: &mut self.marks,
-            state: &self.state,
-        };
-        let outcome = match message {
-            Ready { born, sequence } => {
-                Some(starts.announce(now, announcement(born, sequence, false)))
-            }
-            Draining { born, sequence } => {
-                Some(starts.announce(now, announcement(born, sequence, true)))
-            }
-            SaysLeaving { born } => {
-                let id = "x".to_owned();
-                Some(starts.mark_leaving(now, &LeavingStart { id, born }))
-            }
-            Departure => starts.depart(now, "x"),
-        };
-        if let Some(command) = outcome.and_then(|it| it.command) {
-            self.state.apply(self.state.index + 1, command);
-        }
-        self.registry.expire(now);
-    }
-
-    /// Replaces the leader by one that knows its last view and the state.
-    fn elect(&mut self, now: ClockTime) {
-        let mut registry = TargetRegistry::default();
-        registry.restore(now, &self.registry.views(now));
-        for (id, leaving) in &self.state.leaving {
-            registry.mark_leaving(now, id, leaving.born, leaving.departed);
-        }
-        self.registry = registry;
-        self.returns = ReturnProofs::default();
-        self.marks = LeavingMarks::default();
-    }
-
-    /// Returns whether requests may go to a start of the target.
-    fn uses(&self, born: u64) -> bool {
-        self.registry
-            .get("x")
-            .is_some_and(|it| it.announcement.born == born && it.stage == TargetStage::Ready)
-    }
-}
-
-fn announcement(born: u64, sequence: u64, is_draining: bool) -> TargetAnnouncement {
-    TargetAnnouncement {
-        is_draining,
-        models: BTreeMap::new(),
-        software: None,
-        ..announcements::announcement("x", born, sequence)
-    }
-}
-
 /// Returns the announcements of a start that runs, from its first one on, each with its time.
 fn heartbeats(born: u64, from: ClockTime, count: u64) -> Vec<(ClockTime, Message)> {
     let at = |sequence: u64| from + (sequence - 1) * HEARTBEAT_MS;
--- a/crates/service/tests/state/applied.rs
+++ b/crates/service/tests/state/applied.rs
@@ -193,6 +193,8 @@
         born,
         departed,
         follows: false,
+        unserved: false,
+        any_start: false,
     };
     state.apply(1, leave(10, false));
     assert!(state.is_leaving("x", 10, false) && !state.is_leaving("x", 10, true));
@@ -207,6 +209,8 @@
             born: 1,
             departed: true,
             follows: false,
+            unserved: false,
+            any_start: false,
         };
         state.apply(4 + number, leave);
     }
--- a/crates/service/tests/state/earlier.rs
+++ b/crates/service/tests/state/earlier.rs
@@ -132,6 +132,8 @@
         born: 10,
         departed: true,
         follows,
+        unserved: follows,
+        any_start: follows,
     };
     assert_eq!(
         decode_command(1, &Bytes::from(entry)).unwrap(),
