--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -222,6 +222,8 @@
     pub(super) fn end_leadership(&mut self) {
         self.lease.set(ClockTime::default());
         METRICS.lead_term.set(0);
+        METRICS.jobs_open.reset();
+        METRICS.oldest_open_job_seconds.reset();
         self.store_texts(None);
         let Some(lead) = self.lead.take() else {
             return;
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -8,6 +8,7 @@
 use prometheus::IntCounter;
 use prometheus::IntCounterVec;
 use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
 use prometheus::Opts;
 use prometheus::Registry;
 use prometheus::TextEncoder;
@@ -122,6 +123,10 @@
     pub state_bytes: IntGauge,
     /// Number of jobs that were refused, by the share that was full.
     pub jobs_refused: IntCounterVec,
+    /// Number of jobs that their callers have not ended, by customer; at the leader.
+    pub jobs_open: IntGaugeVec,
+    /// Age of each customer's oldest job that is not ended, in seconds; at the leader.
+    pub oldest_open_job_seconds: IntGaugeVec,
     /// Size of the frames that were received and not handled yet, in bytes.
     pub received_bytes: IntGauge,
     /// Number of received frames that were skipped: unknown to this build, or too long.
@@ -166,6 +171,10 @@
             let gauge = IntGauge::new(name, help).expect("metric names are valid");
             register(&registry, gauge)
         };
+        let gauges = |name: &str, help: &str, label: &str| {
+            let gauges = IntGaugeVec::new(Opts::new(name, help), &[label]);
+            register(&registry, gauges.expect("metric names are valid"))
+        };
         let counters = |name: &str, help: &str, label: &str| {
             let counters = IntCounterVec::new(Opts::new(name, help), &[label]);
             register(&registry, counters.expect("metric names are valid"))
@@ -255,6 +264,12 @@
                 "Size of the jobs' records and of the index of the log.",
             ),
             jobs_refused: counters("jobs_refused_total", "Jobs refused, no space.", "share"),
+            jobs_open: gauges("jobs_open", "Jobs that are not ended.", "customer"),
+            oldest_open_job_seconds: gauges(
+                "jobs_open_oldest_seconds",
+                "Age of the oldest job that is not ended.",
+                "customer",
+            ),
             lines_dropped: gauge("log_lines_dropped", "Log lines dropped, queue full."),
             registry,
         }
