service: a job stays its customer's while the plan names no customers

What callers saw: after a plan without customers, each call about a customer's job got 404, with the same key as before.

Cause: who may see a job was decided by the customers of the plan in force alone; without any, every caller counted as none, which never equals the owner.

Change: a plan retains the customers of the one that it replaces, with their last keys (at most 1,024), so that a key still tells whose job it may see, at every replica and entry. A job that is submitted meanwhile belongs to the customer that last owned its caller's key. Carried-over items find what the owner may see. A keeper whose plan differs from the entry's doesn't answer 404. Without customers, a caller whose key is nobody's may see all jobs, since the plan asks for no key.

--- a/crates/service/src/jobs.rs
+++ b/crates/service/src/jobs.rs
@@ -76,8 +76,12 @@
 pub struct JobSubmission {
     /// ID of the job, chosen by the caller.
     pub id: String,
-    /// Customer that owns the job, if the plan names any.
+    /// Customer for which the items run, if the plan names any.
     pub customer: Option<String>,
+    /// Customer that last owned the caller's API key, if the plan names no customers. The job is this
+    /// customer's, but the items run for none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub former_customer: Option<String>,
     /// Host to which the job was submitted.
     pub host: String,
     /// Path to which the job was submitted.
@@ -92,6 +96,18 @@
     pub items: Vec<ItemSpec>,
 }
 
+impl JobSubmission {
+    /// Returns the customer that owns the job. One without an owner is everybody's.
+    pub fn owner(&self) -> Option<&str> {
+        self.customer.as_deref().or(self.former_customer.as_deref())
+    }
+
+    /// Returns whether a caller of a customer, or of none, may see the job.
+    pub fn is_open_to(&self, customer: Option<&str>) -> bool {
+        self.owner().is_none_or(|it| customer == Some(it))
+    }
+}
+
 /// How an item ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ItemEnd {
@@ -347,34 +363,37 @@
         true
     }
 
-    /// Returns the IDs of the items in all of a customer's jobs but one.
+    /// Returns the jobs that a customer may see, or that a caller of none may see.
+    fn open_to<'a>(&'a self, customer: Option<&'a str>) -> impl Iterator<Item = &'a JobRecord> {
+        let jobs = self.jobs.values().map(Arc::as_ref);
+        jobs.filter(move |it| it.submission.is_open_to(customer))
+    }
+
+    /// Returns the IDs of the items in all jobs but one that a customer may see.
     pub fn other_job_items<'a>(
         &'a self,
         customer: Option<&'a str>,
         job: &'a str,
     ) -> impl Iterator<Item = &'a str> {
-        let jobs = self.jobs.iter();
-        let others = jobs.filter(move |(id, record)| {
-            *id != job && record.submission.customer.as_deref() == customer
-        });
-        others.flat_map(|(_, record)| record.submission.items.iter().map(|it| it.id.as_str()))
+        let others = self
+            .open_to(customer)
+            .filter(move |it| it.submission.id != job);
+        others.flat_map(|it| it.submission.items.iter().map(|item| item.id.as_str()))
     }
 
-    /// Returns the IDs of the items in the jobs that the customer of `record` submitted before it.
+    /// Returns the IDs of the items in the jobs that were submitted before `record` and that its owner
+    /// may see.
     pub fn earlier_job_items<'a>(&'a self, record: &'a JobRecord) -> impl Iterator<Item = &'a str> {
-        let customer = &record.submission.customer;
-        let earlier = self.jobs.values().filter(move |it| {
-            it.first_entry < record.first_entry && it.submission.customer == *customer
-        });
+        let jobs = self.open_to(record.submission.owner());
+        let earlier = jobs.filter(move |it| it.first_entry < record.first_entry);
         earlier.flat_map(|it| it.submission.items.iter().map(|item| item.id.as_str()))
     }
 
     /// Returns the fault for which an item must not run again, if any: an engine rejected it in some job
-    /// of the customer, or it failed in as many jobs as may run it.
+    /// that the customer may see, or it failed in as many of them as may run it.
     pub fn lasting_fault(&self, customer: Option<&str>, item: &str) -> Option<ItemFault> {
-        let jobs = self.jobs.values();
-        let own = jobs.filter(|job| job.submission.customer.as_deref() == customer);
-        let results = own.flat_map(|job| job.results.iter().map(move |result| (job, result)));
+        let jobs = self.open_to(customer);
+        let results = jobs.flat_map(|job| job.results.iter().map(move |result| (job, result)));
         let mut failed_jobs = 0;
         for (job, result) in results {
             let Some(fault) = result.fault else {
@@ -398,18 +417,17 @@
         }
     }
 
-    /// Returns a completed result of an item, from any job of the customer, if all weight versions
+    /// Returns a completed result of an item, from any job that the customer may see, if all weight versions
     /// that generated it are at least `min_version` and its score, if any, is from the same reward
     /// call.
-    pub fn finished(
-        &self,
-        customer: Option<&str>,
+    pub fn finished<'a>(
+        &'a self,
+        customer: Option<&'a str>,
         item: &ItemSpec,
         min_version: u64,
-    ) -> Option<&ItemResult> {
-        let jobs = self.jobs.values();
-        let own = jobs.filter(|job| job.submission.customer.as_deref() == customer);
-        own.flat_map(|job| job.results.iter().map(move |result| (job, result)))
+    ) -> Option<&'a ItemResult> {
+        let jobs = self.open_to(customer);
+        jobs.flat_map(|job| job.results.iter().map(move |result| (job, result)))
             .find(|(job, result)| {
                 let spec = &job.submission.items[result.item as usize];
                 result.end == ItemEnd::Completed
--- a/crates/service/src/keeper/admit.rs
+++ b/crates/service/src/keeper/admit.rs
@@ -141,7 +141,7 @@
         constraints: &JobConstraints,
     ) -> JobStart {
         let jobs = &self.state.jobs;
-        let customer = record.submission.customer.as_deref();
+        let customer = record.submission.owner();
         let other_items: HashSet<&str> = jobs.other_job_items(customer, job).collect();
         let held = self.held_texts();
         let mut start = JobStart::default();
@@ -165,10 +165,7 @@
                 start.finished.push(ItemResult::faulty(index, fault));
                 continue;
             }
-            let key = TextKey {
-                customer: record.submission.customer.clone(),
-                item: item.id.clone(),
-            };
+            let key = TextKey::of(&record.submission, item);
             let stored = self.texts.get(&key, constraints.min_version);
             let is_usable = |it: &&PartialText| {
                 it.is_complete
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -20,6 +20,17 @@
 use bergamotlane_policy::suspect::TargetStart;
 use bergamotlane_storage::clock::now;
 
+/// Whether a caller may see a job.
+#[derive(Debug)]
+pub(super) enum JobAccess<'a> {
+    /// It may.
+    Granted(&'a JobRecord),
+    /// There is no such job for this caller.
+    Denied,
+    /// The caller's entry knows another plan than this keeper, so that the caller's customer is not known.
+    Unsure,
+}
+
 impl<D: TargetDialect> KeeperCore<D> {
     /// Returns whether this keeper leads with a valid lease and has applied every entry that is
     /// known to be committed, those of earlier terms included.
@@ -166,19 +177,30 @@
         }
     }
 
-    /// Returns a job if it belongs to the customer. A job that was submitted while no plan named
-    /// customers belongs to all.
-    pub(super) fn customer_job(&self, job: &str, customer: Option<&str>) -> Option<&JobRecord> {
-        let record = self.state.jobs.get(job)?;
-        let owner = record.submission.customer.as_deref();
-        (owner.is_none() || owner == customer).then_some(record)
+    /// Returns whether a caller of a customer, or of none, may see a job.
+    ///
+    /// A job without an owner is everybody's. While the plan names no customers, callers aren't told
+    /// apart but by the keys that they last had; one without such a key may see every job.
+    pub(super) fn customer_job(&self, job: &str, customer: Option<&str>) -> JobAccess<'_> {
+        let Some(record) = self.state.jobs.get(job) else {
+            return JobAccess::Denied;
+        };
+        let plan = self.state.plan.as_ref().map(|it| &it.plan);
+        let names_customers = plan.is_some_and(|it| !it.customers.is_empty());
+        match customer {
+            _ if record.submission.is_open_to(customer) => JobAccess::Granted(record),
+            Some(_) => JobAccess::Denied,
+            None if names_customers => JobAccess::Unsure,
+            None => JobAccess::Granted(record),
+        }
     }
 
     fn end_job(&mut self, job: String, customer: Option<&str>, origin: CallOrigin) {
-        match self.customer_job(&job, customer).map(|it| it.ended) {
-            None => self.reply(origin, LeaderReply::Missing),
-            Some(true) => self.reply(origin, LeaderReply::Done),
-            Some(false) => {
+        match self.customer_job(&job, customer) {
+            JobAccess::Denied => self.reply(origin, LeaderReply::Missing),
+            JobAccess::Unsure => self.reply(origin, LeaderReply::NotLeader),
+            JobAccess::Granted(record) if record.ended => self.reply(origin, LeaderReply::Done),
+            JobAccess::Granted(_) => {
                 self.stop_job(&job);
                 self.propose(&StateCommand::EndJob(job), origin);
             }
@@ -278,8 +300,10 @@
 
     /// Returns the reply with the request body of an item that still has to run.
     fn read_item(&mut self, job: &str, customer: Option<&str>, item: &str) -> LeaderReply {
-        let Some(record) = self.customer_job(job, customer) else {
-            return LeaderReply::Missing;
+        let record = match self.customer_job(job, customer) {
+            JobAccess::Granted(record) => record,
+            JobAccess::Unsure => return LeaderReply::NotLeader,
+            JobAccess::Denied => return LeaderReply::Missing,
         };
         let items = &record.submission.items;
         let index = items.iter().position(|it| it.id == item);
--- a/crates/service/src/keeper/listing.rs
+++ b/crates/service/src/keeper/listing.rs
@@ -47,11 +47,9 @@
             return;
         };
         let submission = &record.submission;
+        let item = &submission.items[finished.item as usize];
         let complete = CompleteText {
-            key: TextKey {
-                customer: submission.customer.clone(),
-                item: submission.items[finished.item as usize].id.clone(),
-            },
+            key: TextKey::of(submission, item),
             run: finished.run,
             text: finished.text,
             replicated_events: finished.replicated_events,
--- a/crates/service/src/keeper/results.rs
+++ b/crates/service/src/keeper/results.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 
+use super::calls::JobAccess;
 use super::core::CallOrigin;
 use super::core::KeeperCore;
 use super::lead::ResultWaiter;
@@ -44,9 +45,16 @@
         wait_ms: u64,
         origin: CallOrigin,
     ) {
-        let Some(record) = self.customer_job(&job, customer.as_deref()) else {
-            self.reply(origin, LeaderReply::Missing);
-            return;
+        let record = match self.customer_job(&job, customer.as_deref()) {
+            JobAccess::Granted(record) => record,
+            JobAccess::Unsure => {
+                self.reply(origin, LeaderReply::NotLeader);
+                return;
+            }
+            JobAccess::Denied => {
+                self.reply(origin, LeaderReply::Missing);
+                return;
+            }
         };
         let has_no_result = record.results.len() as u64 <= after && !record.is_settled();
         let count = match has_no_result && wait_ms > 0 {
@@ -96,7 +104,9 @@
         if now().since(caught_up_at) >= MAX_REPLICA_AGE_MS {
             return None;
         }
-        let record = self.customer_job(job, customer)?;
+        let JobAccess::Granted(record) = self.customer_job(job, customer) else {
+            return None;
+        };
         if record.results.len() as u64 <= after {
             return None;
         }
--- a/crates/service/src/keeper/retention.rs
+++ b/crates/service/src/keeper/retention.rs
@@ -113,7 +113,7 @@
             let record = self.state.jobs.get(&job);
             spdlog::warn!("job: open past the retention, kept until its caller ends it", kv: {
                 job = job.as_str(),
-                customer = record.and_then(|it| it.submission.customer.as_deref()).unwrap_or_default(),
+                customer = record.and_then(|it| it.submission.owner()).unwrap_or_default(),
                 age_ms = self.ages.age_ms(time, &job).unwrap_or(0),
                 items = record.map_or(0, |it| it.listed.len()),
                 listed = record.map_or(0, |it| it.results.len()),
--- a/crates/service/src/keeper/scoring.rs
+++ b/crates/service/src/keeper/scoring.rs
@@ -66,10 +66,8 @@
         };
         let terms = score_terms(constraints, routes, reward);
         let submission = &record.submission;
-        let text_key = TextKey {
-            customer: submission.customer.clone(),
-            item: submission.items[unscored.item as usize].id.clone(),
-        };
+        let item = &submission.items[unscored.item as usize];
+        let text_key = TextKey::of(submission, item);
         let is_first = self.lead.as_ref().is_some_and(|it| it.scores.is_empty());
         if is_first {
             self.update_chooser(time);
--- a/crates/service/src/keeper/texts.rs
+++ b/crates/service/src/keeper/texts.rs
@@ -102,10 +102,7 @@
             let Some(item) = submission.items.get(result.item as usize) else {
                 continue;
             };
-            self.texts.remove(&TextKey {
-                customer: submission.customer.clone(),
-                item: item.id.clone(),
-            });
+            self.texts.remove(&TextKey::of(submission, item));
         }
     }
 
--- a/crates/service/src/keeper/work.rs
+++ b/crates/service/src/keeper/work.rs
@@ -190,10 +190,7 @@
             min_version: submission.min_version,
             limits: StreamLimits::default(),
         };
-        let key = TextKey {
-            customer: submission.customer.clone(),
-            item: item.id.clone(),
-        };
+        let key = TextKey::of(submission, item);
         let run_id = global_run_id(lead.term, start.run);
         let texts = &mut lead.replicated_texts;
         let replicated = texts.take(time, &start.job, start.item, resumed_events as u32);
--- a/crates/service/src/plan.rs
+++ b/crates/service/src/plan.rs
@@ -130,6 +130,9 @@
     pub scale: Option<ScalePlan>,
 }
 
+/// Largest number of former customers that a plan retains.
+const MAX_FORMER_CUSTOMERS: usize = 1_024;
+
 /// Customer and the API keys that identify it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CustomerSpec {
@@ -185,6 +188,10 @@
     pub services: Vec<ServiceSpec>,
     /// Customers; if there are none, no request needs an API key.
     pub customers: Vec<CustomerSpec>,
+    /// Customers that earlier plans named and this one doesn't, the latest ones first, with their last keys.
+    /// The state adds them to the plan that an operator submits: their jobs stay theirs.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub former_customers: Vec<CustomerSpec>,
     /// Limits of requests; an earlier build leaves them out, and so does this one if they are the
     /// defaults.
     #[serde(default, skip_serializing_if = "RequestLimits::is_default")]
@@ -192,6 +199,20 @@
 }
 
 impl RoutingPlan {
+    /// Retains the customers of the plan that this one replaces, and those that it has retained.
+    pub fn retain_customers(&mut self, earlier: &Self) {
+        let known: BTreeSet<&str> = self.customers.iter().map(|it| it.name.as_str()).collect();
+        let mut former: Vec<CustomerSpec> = Vec::new();
+        for customer in earlier.customers.iter().chain(&earlier.former_customers) {
+            let is_new = former.iter().all(|it| it.name != customer.name);
+            if is_new && !known.contains(customer.name.as_str()) {
+                former.push(customer.clone());
+            }
+        }
+        former.truncate(MAX_FORMER_CUSTOMERS);
+        self.former_customers = former;
+    }
+
     /// Validates the plan and returns every fault with the field that it concerns, sorted.
     pub fn check(&self) -> Vec<Finding> {
         let mut findings = Vec::new();
@@ -305,6 +326,8 @@
     plan: RoutingPlan,
     by_host: HashMap<String, Vec<usize>>,
     owners: HashMap<KeyDigest, usize>,
+    /// Former customers by their last keys, if the plan names no customers.
+    former_owners: HashMap<KeyDigest, usize>,
     /// Priorities of the customers that have one, by name.
     priorities: HashMap<String, u32>,
     /// Highest priority that requests to a service may have, by its name.
@@ -325,6 +348,13 @@
         for (index, customer) in plan.customers.iter().enumerate() {
             owners.extend(customer.keys.iter().map(|key| (*key, index)));
         }
+        let mut former_owners = HashMap::new();
+        let former = plan.former_customers.iter().enumerate();
+        for (index, customer) in former.filter(|_| plan.customers.is_empty()) {
+            for key in &customer.keys {
+                former_owners.entry(*key).or_insert(index);
+            }
+        }
         let customers = plan.customers.iter();
         let priorities = customers.filter_map(|it| Some((it.name.clone(), it.priority?)));
         Self {
@@ -333,6 +363,7 @@
             plan,
             by_host,
             owners,
+            former_owners,
         }
     }
 
@@ -378,6 +409,12 @@
         Ok(Some(&self.plan.customers[*index].name))
     }
 
+    /// Returns the name of the customer that last owned an API key, if the plan names no customers.
+    pub fn former_customer(&self, key: Option<KeyDigest>) -> Option<&str> {
+        let index = self.former_owners.get(&key?)?;
+        Some(&self.plan.former_customers[*index].name)
+    }
+
     /// Returns the service with this name.
     pub fn service(&self, name: &str) -> Option<&ServiceSpec> {
         self.plan.services.iter().find(|it| it.name == name)
--- a/crates/service/src/retention.rs
+++ b/crates/service/src/retention.rs
@@ -87,8 +87,8 @@
 pub fn open_jobs(now: ClockTime, agenda: &Agenda) -> BTreeMap<String, OpenJobs> {
     let mut by_customer: BTreeMap<String, OpenJobs> = BTreeMap::new();
     for (id, job) in agenda.state.jobs.iter().filter(|(_, job)| !job.ended) {
-        let customer = job.submission.customer.clone().unwrap_or_default();
-        let open = by_customer.entry(customer).or_default();
+        let customer = job.submission.owner().unwrap_or_default();
+        let open = by_customer.entry(customer.to_owned()).or_default();
         open.count += 1;
         let age_ms = agenda.ages.age_ms(now, id).unwrap_or(0);
         open.oldest_ms = open.oldest_ms.max(age_ms);
--- a/crates/service/src/state.rs
+++ b/crates/service/src/state.rs
@@ -209,12 +209,7 @@
     pub fn apply(&mut self, index: u64, command: StateCommand) {
         self.index = index;
         match command {
-            StateCommand::ReplacePlan { plan, document } => {
-                if self.plan_version().is_none_or(|it| it < plan.version) {
-                    let plan = *plan;
-                    self.plan = Some(PlanRecord { plan, document });
-                }
-            }
+            StateCommand::ReplacePlan { plan, document } => self.replace_plan(*plan, document),
             StateCommand::Evacuate(zone) => {
                 self.evacuated.insert(zone);
             }
@@ -271,6 +266,18 @@
         }
     }
 
+    /// Puts a plan in force if its version is higher.
+    fn replace_plan(&mut self, mut plan: RoutingPlan, document: Bytes) {
+        if self.plan_version().is_some_and(|it| it >= plan.version) {
+            return;
+        }
+        match &self.plan {
+            Some(earlier) => plan.retain_customers(&earlier.plan),
+            None => plan.former_customers.clear(),
+        }
+        self.plan = Some(PlanRecord { plan, document });
+    }
+
     /// Returns whether the state records that a target leaves, at least in the given way.
     pub fn is_leaving(&self, id: &str, born: u64, departed: bool) -> bool {
         let known = self.leaving.get(id);
--- a/crates/service/src/texts.rs
+++ b/crates/service/src/texts.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::jobs::ItemSpec;
+use crate::jobs::JobSubmission;
 use crate::metrics::METRICS;
 use crate::software::SoftwareBuild;
 use crate::work::PartialText;
@@ -30,12 +32,22 @@
 /// Identity of an item across all jobs of its customer.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct TextKey {
-    /// Customer that owns the item, if the plan names any.
+    /// Customer that owns the item's job, if any.
     pub customer: Option<String>,
     /// ID of the item.
     pub item: String,
 }
 
+impl TextKey {
+    /// Returns the identity of an item of a job.
+    pub fn of(submission: &JobSubmission, item: &ItemSpec) -> Self {
+        Self {
+            customer: submission.owner().map(str::to_owned),
+            item: item.id.clone(),
+        }
+    }
+}
+
 /// Events that a run has added to a text since the previous delta.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TextDelta {
--- a/crates/service/tests/agenda.rs
+++ b/crates/service/tests/agenda.rs
@@ -127,6 +127,7 @@
     JobSubmission {
         id: format!("job-{job}"),
         customer: None,
+        former_customer: None,
         host: "desk.example".to_owned(),
         path: format!("/{job}/"),
         model: "m".to_owned(),
--- a/crates/service/tests/group_listing/outline.rs
+++ b/crates/service/tests/group_listing/outline.rs
@@ -51,6 +51,7 @@
     let submission = |id: &str, customer: Option<&str>, items: Vec<ItemSpec>| JobSubmission {
         id: id.to_owned(),
         customer: customer.map(str::to_owned),
+        former_customer: None,
         host: "desk.example".to_owned(),
         path: "/p/j".to_owned(),
         model: "m".to_owned(),
--- a/crates/service/tests/growth.rs
+++ b/crates/service/tests/growth.rs
@@ -75,6 +75,7 @@
     StateCommand::Submit(Box::new(JobSubmission {
         id: job.to_owned(),
         customer: Some("mint".to_owned()),
+        former_customer: None,
         host: "desk.example".to_owned(),
         path: "/p/".to_owned(),
         model: "m".to_owned(),
--- a/crates/service/tests/leader_client.rs
+++ b/crates/service/tests/leader_client.rs
@@ -25,6 +25,7 @@
     LeaderCall::Change(StateCommand::Submit(Box::new(JobSubmission {
         id: "j".to_owned(),
         customer: None,
+        former_customer: None,
         host: "h".to_owned(),
         path: "/p".to_owned(),
         model: "m".to_owned(),
--- a/crates/service/tests/plan.rs
+++ b/crates/service/tests/plan.rs
@@ -223,3 +223,54 @@
     let read: CustomerSpec = codec::decode(&codec::encode(&value)).unwrap();
     assert_eq!((read.name, read.priority), (customer.name, None));
 }
+
+/// Guards against a customer that nobody knows once the plan names none: the last one that left, one that
+/// left before, and one whose key another customer took over.
+#[test]
+fn customers_that_left_the_plan_are_known_by_their_last_keys() {
+    let with = |customers: Vec<CustomerSpec>, earlier: &RoutingPlan| {
+        let mut plan = RoutingPlan {
+            version: earlier.version + 1,
+            customers,
+            ..plan()
+        };
+        plan.retain_customers(earlier);
+        plan
+    };
+    let both = plan();
+    let one = with(vec![customer("ridge", &["k1", "k4"])], &both);
+    let nobody = with(Vec::new(), &one);
+    let still_nobody = with(Vec::new(), &nobody);
+    for plan in [nobody, still_nobody.clone()] {
+        let routes = RouteIndex::new(plan);
+        let former = |key: &str| routes.former_customer(Some(KeyDigest::of(key.as_bytes())));
+        assert_eq!(former("k1"), Some("ridge"), "taken over");
+        assert_eq!(former("k2"), Some("mint"), "left first");
+        assert_eq!(former("k3"), None, "revoked before");
+        assert_eq!(former("k4"), Some("ridge"), "left last");
+        assert_eq!(routes.former_customer(None), None);
+    }
+    let back = with(vec![customer("mint", &["k5"])], &still_nobody);
+    let names = back.former_customers.iter().map(|it| it.name.as_str());
+    assert_eq!(names.collect::<Vec<_>>(), ["ridge"]);
+    let routes = RouteIndex::new(back);
+    let revoked = KeyDigest::of(b"k4");
+    assert_eq!(routes.former_customer(Some(revoked)), None);
+    assert!(routes.customer(Some(revoked)).is_err());
+}
+
+/// Guards against plans that grow with every customer that ever was.
+#[test]
+fn a_plan_retains_a_bounded_number_of_former_customers() {
+    let mut earlier = plan();
+    for number in 0..2_000 {
+        let mut next = RoutingPlan {
+            customers: vec![customer(&format!("c{number}"), &[&format!("key{number}")])],
+            ..plan()
+        };
+        next.retain_customers(&earlier);
+        earlier = next;
+    }
+    assert_eq!(earlier.former_customers.len(), 1_024);
+    assert_eq!(earlier.former_customers[0].name, "c1998");
+}
--- a/crates/service/tests/retention.rs
+++ b/crates/service/tests/retention.rs
@@ -41,6 +41,7 @@
     StateCommand::Submit(Box::new(JobSubmission {
         id: id.to_owned(),
         customer: None,
+        former_customer: None,
         host: "desk.example".to_owned(),
         path: "/p/".to_owned(),
         model: "m".to_owned(),
--- a/crates/service/tests/state/support.rs
+++ b/crates/service/tests/state/support.rs
@@ -31,6 +31,7 @@
     JobSubmission {
         id: id.to_owned(),
         customer: Some("mint".to_owned()),
+        former_customer: None,
         host: "desk.example".to_owned(),
         path: "/p/".to_owned(),
         model: "m".to_owned(),
--- a/crates/service/tests/targets/kept.rs
+++ b/crates/service/tests/targets/kept.rs
@@ -129,6 +129,7 @@
     let submission = JobSubmission {
         id: format!("job-{job}"),
         customer: None,
+        former_customer: None,
         host: "h".to_owned(),
         path: "/p".to_owned(),
         model: "m".to_owned(),
--- a/crates/service/tests/targets/stored.rs
+++ b/crates/service/tests/targets/stored.rs
@@ -65,6 +65,7 @@
     let submission = JobSubmission {
         id: id.to_owned(),
         customer: None,
+        former_customer: None,
         host: "h".to_owned(),
         path: "/p".to_owned(),
         model: "m".to_owned(),
