service: refuse a job whose ID is that of another job

What callers saw: 202 for a job that was not kept: another customer's job, or one with other items, had its ID.

Cause: a submission whose ID is known was acknowledged as a repetition, without a look at its owner and content.

Change: it is acknowledged if the caller may see the job and the content is the same, and refused with 409 otherwise.

--- a/crates/service/src/jobs.rs
+++ b/crates/service/src/jobs.rs
@@ -106,6 +106,28 @@
     pub fn is_open_to(&self, customer: Option<&str>) -> bool {
         self.owner().is_none_or(|it| customer == Some(it))
     }
+
+    /// Returns a digest of what tells the job apart from another one with its ID, and stays the same as its
+    /// items are listed.
+    pub fn content_digest(&self) -> blake3::Hash {
+        let mut hasher = blake3::Hasher::new();
+        let mut add = |text: &str| {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        };
+        add(&self.model);
+        for item in &self.items {
+            add(&item.id);
+            add(&item.group);
+            add(item.reward_id().unwrap_or_default());
+        }
+        for number in self.items.iter().map(|it| it.tokens) {
+            hasher.update(&number.to_le_bytes());
+        }
+        hasher.update(&self.min_version.to_le_bytes());
+        hasher.update(&self.desired.to_le_bytes());
+        hasher.finalize()
+    }
 }
 
 /// How an item ended.
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -6,6 +6,7 @@
 use crate::frames::LeaderCall;
 use crate::frames::LeaderReply;
 use crate::jobs::JobRecord;
+use crate::jobs::JobSubmission;
 use crate::leaving::LeavingStart;
 use crate::metrics::METRICS;
 use crate::registry::AnnouncementEffect;
@@ -148,7 +149,13 @@
                 .state
                 .plan_version()
                 .is_some_and(|it| it >= plan.version),
-            StateCommand::Submit(submission) => self.state.jobs.get(&submission.id).is_some(),
+            StateCommand::Submit(submission) => {
+                if let Some(reply) = self.known_submission(submission) {
+                    self.reply(origin, reply);
+                    return;
+                }
+                false
+            }
             StateCommand::Evacuate(zone) => self.state.evacuated.contains(zone),
             StateCommand::Restore(zone) => !self.state.evacuated.contains(zone),
             StateCommand::NameVersion { model, version } => self
@@ -177,6 +184,28 @@
         }
     }
 
+    /// Returns the reply to a submission whose ID is that of a known job, if it is: the job is accepted
+    /// once, and another one can't have its ID.
+    fn known_submission(&self, submission: &JobSubmission) -> Option<LeaderReply> {
+        self.state.jobs.get(&submission.id)?;
+        let reply = match self.customer_job(&submission.id, submission.owner()) {
+            JobAccess::Granted(record)
+                if record.submission.content_digest() == submission.content_digest() =>
+            {
+                LeaderReply::Done
+            }
+            JobAccess::Unsure => LeaderReply::NotLeader,
+            JobAccess::Granted(_) | JobAccess::Denied => {
+                spdlog::warn!("job: refused, another one has its ID", kv: {
+                    job = submission.id.as_str(),
+                    customer = submission.owner().unwrap_or_default(),
+                });
+                LeaderReply::Missing
+            }
+        };
+        Some(reply)
+    }
+
     /// Returns whether a caller of a customer, or of none, may see a job.
     ///
     /// A job without an owner is everybody's. While the plan names no customers, callers aren't told
--- a/crates/service/src/keeper/submissions.rs
+++ b/crates/service/src/keeper/submissions.rs
@@ -39,6 +39,13 @@
 /// Divisor of the shares for frames that yields the largest job: it is sent to several voters at once.
 const JOB_DIVISOR: u64 = 3;
 
+/// Job that was proposed.
+#[derive(Debug, Clone, Copy)]
+struct ProposedJob {
+    size: JobSize,
+    content: blake3::Hash,
+}
+
 /// Admission of jobs in one term, with those that were proposed and may not be applied yet.
 #[derive(Debug)]
 pub(super) struct SubmissionGate {
@@ -48,7 +55,7 @@
     measured: StoreLoad,
     measure_due: ClockTime,
     /// Jobs that were proposed since the state was measured.
-    proposed: BTreeMap<String, JobSize>,
+    proposed: BTreeMap<String, ProposedJob>,
 }
 
 impl SubmissionGate {
@@ -161,7 +168,7 @@
             gate.admission.observe(time, &gate.measured);
             METRICS.state_bytes.set(gate.measured.state_bytes as i64);
         }
-        let proposed = gate.proposed.values();
+        let proposed = gate.proposed.values().map(|it| it.size);
         StoreLoad {
             disk_bytes,
             state_bytes: gate.measured.state_bytes
@@ -180,15 +187,26 @@
     ) {
         let load = self.store_load(now());
         let gate = &mut self.submissions;
-        // A job that was proposed may be committed, so its repetition must not be refused.
-        if gate.proposed.contains_key(&submission.id) {
-            self.propose(command, origin);
-            return;
+        let content = submission.content_digest();
+        match gate.proposed.get(&submission.id) {
+            // A job that was proposed may be committed, so its repetition must not be refused.
+            Some(known) if known.content == content => {
+                self.propose(command, origin);
+                return;
+            }
+            // Which of the two jobs has the ID is not known yet.
+            Some(_) if self.state.jobs.get(&submission.id).is_none() => {
+                self.reply(origin, LeaderReply::NotLeader);
+                return;
+            }
+            _ => {}
         }
         let job = job_size(submission);
         let reply = match gate.admission.decide(&load, job) {
             AdmissionReply::Accepted => {
-                gate.proposed.insert(submission.id.clone(), job);
+                let size = job;
+                gate.proposed
+                    .insert(submission.id.clone(), ProposedJob { size, content });
                 self.propose(command, origin);
                 return;
             }
--- a/crates/service/tests/state/owners.rs
+++ b/crates/service/tests/state/owners.rs
@@ -58,3 +58,29 @@
     let later = job("later", Some("mint"), None);
     assert!(jobs.finished(later.owner(), &later.items[0], 1).is_some());
 }
+
+/// Guards against another job that counts as the same submission, and against the same one that doesn't
+/// since some of its items are listed.
+#[test]
+fn a_job_is_told_apart_by_what_stays_when_its_items_are_listed() {
+    let submitted = job("j", Some("mint"), None);
+    let mut jobs = JobTable::default();
+    jobs.submit(1, submitted.clone());
+    jobs.list("j", result(0, "text"));
+    jobs.end("j");
+    let digest = submitted.content_digest();
+    assert_eq!(jobs.get("j").unwrap().submission.content_digest(), digest);
+    let changes: [fn(&mut JobSubmission); 6] = [
+        |it| it.items[1].id = "other".to_owned(),
+        |it| it.items[1].group = "other".to_owned(),
+        |it| it.items[1].tokens += 1,
+        |it| it.model = "other".to_owned(),
+        |it| it.min_version += 1,
+        |it| drop(it.items.pop()),
+    ];
+    for change in changes {
+        let mut other = submitted.clone();
+        change(&mut other);
+        assert_ne!(other.content_digest(), digest);
+    }
+}
