service, daemon: a status line that ends no request is no answer

Cause: the HTTP library takes any three digits for a status, and 101 for a switch that the caller asked for; no reader of heads looked at the class.

Change: one typed check where a head is read, for all paths: FinalStatus in TargetPool::send (callers, items, reward calls, orders, reports), in the decoder of relayed answers, and in the daemon's TargetClient. The request may have run; the connection isn't used again. A look-up of the daemon that was kept with a number that isn't a status is no longer answered with 200, and a reward call that a redirect or such a line answers no longer scores 0.0 (the latter without a test).

Evidence, on: a_status_line_that_ends_no_request_reaches_neither_callers_nor_jobs failed with "/l/1: left 999, right 502" (and 101, 600); a_status_line_that_ends_no_request_is_no_answer failed for 101, 600, 601, 700 and 999 of 15 lines; a_relayed_answer_has_a_final_status for 101, 199, 600 and 999; a_connection_without_an_answer_is_not_used_again with "left [2], right [1, 1]" for 600; a_status_line_that_ends_no_request_reaches_no_caller for 101, 600 and 999 in each case of the daemon. 000 and two or four digits were refused before.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -39,6 +39,7 @@
 use crate::storage::DataFolder;
 use crate::storage::SnapshotThresholds;
 use crate::storage::StorageError;
+use crate::target_client::TargetClient;
 use bergamotlane_coordination::consensus::ConsensusConfig;
 use bergamotlane_coordination::consensus::ConsensusNode;
 use bergamotlane_coordination::consensus::NodeStart;
@@ -50,16 +51,6 @@
 /// Size of the youngest commands of the log that are kept in memory, in bytes.
 const LOG_TAIL_BYTES: usize = 8 * 1024 * 1024;
 
-/// Time within which a connection to a target must be established.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1_000);
-
-/// Time for which sent data may stay unacknowledged before the kernel closes a connection to a
-/// target (TCP_USER_TIMEOUT).
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(5);
-
-/// Time for which an idle connection to a target stays in the pool.
-const POOL_IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// Longest time that a shutdown waits for requests in progress.
 const FINISH_TIMEOUT: Duration = Duration::from_secs(120);
 
@@ -175,14 +166,7 @@
         handle.clone(),
     );
     let samples = SampleStore::new(Arc::clone(&hub));
-    let client = reqwest::Client::builder()
-        .connect_timeout(CONNECT_TIMEOUT)
-        .pool_idle_timeout(POOL_IDLE_TIMEOUT)
-        .tcp_nodelay(true)
-        .tcp_user_timeout(TCP_USER_TIMEOUT)
-        .retry(reqwest::retry::never())
-        .redirect(reqwest::redirect::Policy::none())
-        .build()?;
+    let client = TargetClient::new()?;
     let peers = listen(config.peers).await?;
     let callers = listen(config.callers).await?;
     let targets = listen(config.targets).await?;
--- a/crates/daemon/src/engine.rs
+++ b/crates/daemon/src/engine.rs
@@ -16,6 +16,7 @@
 use crate::gate::ServiceGate;
 use crate::gate::SlotGuard;
 use crate::shared::TrafficShared;
+use crate::target_client::TargetClient;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_policy::retry::backoff_ms;
 use bergamotlane_policy::targets::prefix_digest;
@@ -115,7 +116,7 @@
 pub struct Generation {
     shared: Arc<TrafficShared>,
     gate: Arc<ServiceGate>,
-    client: reqwest::Client,
+    client: TargetClient,
     request: GateRequest,
     body: GenerationBody,
     deadline: ClockTime,
@@ -139,7 +140,7 @@
     pub fn new(
         shared: Arc<TrafficShared>,
         gate: Arc<ServiceGate>,
-        client: reqwest::Client,
+        client: TargetClient,
         mut request: GateRequest,
         body: GenerationBody,
         deadline: ClockTime,
@@ -226,10 +227,17 @@
             false => GenerationFailure::NotRun(refusal),
         })?;
         self.sent = true;
-        let url = format!("http://{}/v1/chat/completions", slot.target.address);
-        let response = self.client.post(url).json(&self.body).send();
+        let address = &*slot.target.address;
+        let url = format!("http://{address}/v1/chat/completions");
+        let response = self.client.of(address).post(url).json(&self.body).send();
         let response = match timeout(TOKEN_TIMEOUT, response).await {
-            Ok(Ok(response)) => response,
+            Ok(Ok(response)) => {
+                let Ok(response) = self.client.check_head(address, response) else {
+                    self.record_failure(&slot);
+                    return Ok(None);
+                };
+                response
+            }
             Ok(Err(error)) => {
                 if error.is_connect() {
                     slot.target.counters.revoke();
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -18,6 +18,7 @@
 mod settings;
 mod shared;
 mod suspects;
+mod target_client;
 
 use std::env;
 use std::process::ExitCode;
--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -30,6 +30,8 @@
 use bergamotlane_policy::control::OrderKey;
 use bergamotlane_policy::control::OrderRecord;
 use bergamotlane_policy::control::OrderResult;
+use bergamotlane_wire::answer_status::FinalStatus;
+use bergamotlane_wire::answer_status::StatusFault;
 use bergamotlane_wire::http::LoadBody;
 use bergamotlane_wire::http::TargetOrderBody;
 use bergamotlane_wire::http::UsageLineBody;
@@ -55,6 +57,9 @@
     /// The HTTP exchange failed on an open connection.
     #[error("HTTP exchange failed: {0}")]
     Exchange(#[from] hyper::Error),
+    /// What came back is no answer in the protocol.
+    #[error("no answer: {0}")]
+    NoAnswer(#[from] StatusFault),
     /// The body could not be encoded as JSON.
     #[error("could not encode the body as JSON: {0}")]
     Encode(#[from] serde_json::Error),
@@ -222,13 +227,14 @@
     let response_status = async {
         let response = sender.send_request(request).await?;
         let status = response.status();
+        FinalStatus::try_from(status.as_u16())?;
         response.into_body().collect().await?;
-        Ok::<_, hyper::Error>(status)
+        Ok::<_, OrderError>(status)
     };
     tokio::pin!(connection);
     tokio::select! {
         biased;
-        status = response_status => Ok(status?),
+        status = response_status => status,
         closed = &mut connection => {
             closed?;
             Err(OrderError::Late)
--- a/crates/daemon/src/rollout.rs
+++ b/crates/daemon/src/rollout.rs
@@ -24,6 +24,7 @@
 use crate::gate::ServiceGate;
 use crate::samples::SampleStore;
 use crate::shared::TrafficShared;
+use crate::target_client::TargetClient;
 use bergamotlane_coordination::ident::RunId;
 use bergamotlane_policy::control::AttemptId;
 use bergamotlane_policy::control::AttemptRecord;
@@ -65,7 +66,7 @@
     shared: Arc<TrafficShared>,
     handle: ControlHandle,
     samples: Arc<SampleStore>,
-    client: reqwest::Client,
+    client: TargetClient,
     next_attempt: AtomicU64,
     /// Exponential moving average of the duration of a generation, in milliseconds; zero until
     /// the first one has succeeded.
@@ -91,7 +92,7 @@
         shared: Arc<TrafficShared>,
         handle: ControlHandle,
         samples: Arc<SampleStore>,
-        client: reqwest::Client,
+        client: TargetClient,
     ) -> Arc<Self> {
         Arc::new(Self {
             run,
@@ -283,24 +284,25 @@
         };
         drop(view);
         let slot = gate.enter(&self.shared, request).await.ok()?;
-        let url = format!("http://{}/v1/score", slot.target.address);
+        let address = &*slot.target.address;
+        let url = format!("http://{address}/v1/score");
         let body = json!({ "group": job.sample.group, "place": job.sample.place, "text": text });
         let sent = self
             .client
+            .of(address)
             .post(url)
             .timeout(limit)
             .json(&body)
             .send()
             .await;
-        let scored = match sent {
-            Ok(response) if response.status().is_success() => response.json::<ScoreBody>().await,
-            Ok(response) => response
-                .error_for_status()
-                .map(|_| ScoreBody { score: 0.0 }),
-            Err(error) => Err(error),
+        let answer = sent.ok();
+        let answer = answer.and_then(|it| self.client.check_head(address, it).ok());
+        let scored = match answer.filter(|it| it.status().is_success()) {
+            Some(response) => response.json::<ScoreBody>().await.ok(),
+            None => None,
         };
-        slot.report(scored.is_ok());
-        scored.ok().map(|body| body.score)
+        slot.report(scored.is_some());
+        scored.map(|body| body.score)
     }
 
     /// Stores the sample on two instances, and then records the attempt.
--- a/crates/daemon/src/serve/attempts.rs
+++ b/crates/daemon/src/serve/attempts.rs
@@ -194,21 +194,26 @@
     outbound: &OutboundCall,
     timeout_ms: u64,
 ) -> Result<reqwest::Response, AttemptFailure> {
-    let mut url = format!("http://{}{}", slot.target.address, outbound.path);
+    let address = &*slot.target.address;
+    let mut url = format!("http://{address}{}", outbound.path);
     if let Some(query) = &outbound.head.query {
         url.push('?');
         url.push_str(query);
     }
     let request = context
         .client
+        .of(address)
         .request(outbound.method.clone(), url)
         .headers(outbound.head.headers.clone())
         .body(outbound.body.clone())
         .build()
         .map_err(|_| AttemptFailure::NotSent(Refusal::bad_request("the path is not valid")))?;
     let limit = Duration::from_millis(timeout_ms);
-    match timeout(limit, context.client.execute(request)).await {
-        Ok(Ok(response)) => Ok(response),
+    match timeout(limit, context.client.of(address).execute(request)).await {
+        Ok(Ok(response)) => context
+            .client
+            .check_head(address, response)
+            .map_err(|fault| AttemptFailure::Sent(Refusal::target_failed(fault.to_string()))),
         Ok(Err(error)) if error.is_connect() => {
             slot.target.counters.revoke();
             Err(AttemptFailure::NotSent(Refusal::target_unreachable()))
--- a/crates/daemon/src/serve/lookup.rs
+++ b/crates/daemon/src/serve/lookup.rs
@@ -36,6 +36,7 @@
 use crate::gate::SlotGuard;
 use crate::shared::RequestGuard;
 use bergamotlane_policy::plan::KeyHash;
+use bergamotlane_wire::answer_status::FinalStatus;
 use bergamotlane_wire::http::REQUEST_ID_HEADER;
 
 /// Largest response that is buffered before it is forwarded, in bytes; larger ones and those
@@ -71,7 +72,7 @@
         true => None,
         false => match claim_call(context, service, &call, &outbound).await? {
             Some(ClaimResult::Kept(status, content_type, body)) => {
-                res.status_code(StatusCode::from_u16(status).unwrap_or(StatusCode::OK));
+                res.status_code(kept_status(status)?);
                 set_header(res, "content-type", &content_type);
                 set_header(res, "x-bergamotlane-kept", "yes");
                 res.body(body);
@@ -104,6 +105,13 @@
     }
 }
 
+/// Returns the status of a kept response. One that an earlier build kept may be that of no answer.
+fn kept_status(status: u16) -> Result<StatusCode, Refusal> {
+    let failed = |error: String| Refusal::target_failed(error);
+    let status = FinalStatus::try_from(status).map_err(|fault| failed(fault.to_string()))?;
+    StatusCode::from_u16(status.as_u16()).map_err(|error| failed(error.to_string()))
+}
+
 /// Removes keys from a JSON body; any other body is forwarded as it is.
 fn strip_body(body: Bytes, head: &mut StrippedHead) -> Bytes {
     let is_json = head
--- a/crates/daemon/src/serve/mod.rs
+++ b/crates/daemon/src/serve/mod.rs
@@ -34,6 +34,7 @@
 use crate::samples::SampleStore;
 use crate::settings::SecretKey;
 use crate::shared::TrafficShared;
+use crate::target_client::TargetClient;
 use bergamotlane_coordination::ident::RunId;
 
 pub use refusal::Refusal;
@@ -64,7 +65,7 @@
     /// Samples that this instance holds, and access to those of other instances.
     pub samples: Arc<SampleStore>,
     /// HTTP client for requests to targets; it neither retries nor follows redirects.
-    pub client: reqwest::Client,
+    pub client: TargetClient,
     /// Key that operators must send with each request except metrics and health.
     pub operator_key: SecretKey,
 }
--- a/crates/daemon/tests/processes/main.rs
+++ b/crates/daemon/tests/processes/main.rs
@@ -5,4 +5,6 @@
 mod faults;
 mod hostile;
 mod operators;
+mod raw_target;
+mod status_lines;
 mod support;
--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -224,7 +224,9 @@
                 self.record_unreachable(&target.announcement);
                 return TryOutcome::Unsent;
             }
-            Err(SendError::Gone | SendError::Broken(_)) => return TryOutcome::Broken,
+            Err(SendError::Gone | SendError::Broken(_) | SendError::NoAnswer(_)) => {
+                return TryOutcome::Broken;
+            }
         };
         self.reach.record_success();
         let (head, body) = response.into_parts();
--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -1,6 +1,9 @@
 //! Duties that only the leader carries out: sending their requests, and usage reports. Each request
 //! carries the leader's term as its fencing token.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -115,9 +118,8 @@
     match timeout(DUTY_TIMEOUT, lease.guard(exchange)).await {
         Ok(Some(Ok(answer))) => Ok(answer),
         Ok(Some(Err(SendError::Connect))) => Err(DutyFailure::NotSent),
-        Ok(Some(Err(SendError::Gone | SendError::Broken(_))) | None) | Err(_) => {
-            Err(DutyFailure::Unclear)
-        }
+        Ok(Some(Err(SendError::Gone | SendError::Broken(_) | SendError::NoAnswer(_))) | None)
+        | Err(_) => Err(DutyFailure::Unclear),
     }
 }
 
--- a/crates/service/src/metrics.rs
+++ b/crates/service/src/metrics.rs
@@ -31,6 +31,8 @@
     registry: Registry,
     /// Number of answers to callers, by HTTP status.
     pub answers: IntCounterVec,
+    /// Number of answers of targets with a status that ends no request.
+    pub answers_malformed: IntCounter,
     /// Time from a caller's request to its answer, in seconds.
     pub answer_seconds: Histogram,
     /// Number of tries to forward a request to a target, by outcome.
@@ -263,6 +265,10 @@
                 "state_bytes",
                 "Size of the jobs' records and of the index of the log.",
             ),
+            answers_malformed: counter(
+                "target_answers_malformed_total",
+                "Answers of targets without a final status.",
+            ),
             jobs_refused: counters("jobs_refused_total", "Jobs refused, no space.", "share"),
             jobs_open: gauges("jobs_open", "Jobs that are not ended.", "customer"),
             oldest_open_job_seconds: gauges(
--- a/crates/service/src/pool.rs
+++ b/crates/service/src/pool.rs
@@ -24,9 +24,12 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::metrics::METRICS;
 use crate::silence::SlowestAnswer;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
+use bergamotlane_wire::answer_status::FinalStatus;
+use bergamotlane_wire::answer_status::StatusFault;
 
 /// Largest read buffer of a connection to a target, which also bounds the headers of an answer, in
 /// bytes. What an answer holds beyond it is in the budget of answers.
@@ -81,6 +84,9 @@
     /// The connection failed; the request may have been sent.
     #[error("connection failed: {0}")]
     Broken(#[from] hyper::Error),
+    /// What came back is no answer in the protocol; the request may have run.
+    #[error("no answer: {0}")]
+    NoAnswer(#[from] StatusFault),
 }
 
 /// When a request may be sent again on a new connection to the same target.
@@ -255,7 +261,8 @@
     /// # Errors
     ///
     /// Returns [`SendError::Connect`] if the request certainly wasn't sent, and
-    /// [`SendError::Gone`] or [`SendError::Broken`] if it may have reached the target.
+    /// [`SendError::Gone`], [`SendError::Broken`] or [`SendError::NoAnswer`] if it may have reached the
+    /// target.
     pub async fn send(
         self: &Arc<Self>,
         address: SocketAddr,
@@ -268,7 +275,7 @@
             match self.send_kept(address, sender, &request, rule).await {
                 KeptEnd::Answered(response, sender) => {
                     self.record_answer(started);
-                    return Ok(self.activate(address, sender, response));
+                    return self.activate(address, sender, response);
                 }
                 KeptEnd::Unsent => {}
                 KeptEnd::Broken(_) if rule != RepeatRule::Unsent => may_have_arrived = true,
@@ -283,7 +290,7 @@
         };
         let response = sender.send_request(request).await?;
         self.record_answer(started);
-        Ok(self.activate(address, sender, response))
+        self.activate(address, sender, response)
     }
 
     /// Sends a request on a kept connection. If the target stays silent on all connections, those that
@@ -396,13 +403,22 @@
         refuses_connections(address).await
     }
 
-    /// Pairs an answer with its connection, which may return to the pool until its idle limit.
+    /// Pairs an answer with its connection, which may return to the pool until its idle limit. The
+    /// connection is closed if its target sent no final answer.
     fn activate(
         self: &Arc<Self>,
         address: SocketAddr,
         sender: SendRequest<Full<Bytes>>,
         response: Response<Incoming>,
-    ) -> (Response<Incoming>, ActiveConnection) {
+    ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
+        if let Err(fault) = FinalStatus::try_from(response.status().as_u16()) {
+            spdlog::warn!("target: no answer in the protocol", kv: {
+                address = address.to_string(),
+                status = fault.0,
+            });
+            METRICS.answers_malformed.inc();
+            return Err(fault.into());
+        }
         self.targets().entry(address).or_default().answered_at = now();
         let idle_ms = idle_limit_ms(response.headers()).unwrap_or(DEFAULT_IDLE_MS);
         let connection = ActiveConnection {
@@ -411,7 +427,7 @@
             until: now() + idle_ms.saturating_sub(IDLE_MARGIN_MS),
             pool: Arc::clone(self),
         };
-        (response, connection)
+        Ok((response, connection))
     }
 }
 
--- a/crates/service/src/relay.rs
+++ b/crates/service/src/relay.rs
@@ -29,6 +29,8 @@
 use crate::streams::StreamKey;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_storage::clock::now;
+use bergamotlane_wire::answer_status::FinalStatus;
+use bergamotlane_wire::answer_status::StatusFault;
 use bergamotlane_wire::body_end::BodyEnd;
 
 /// Pause before a request looks for a helper again, since links may be on their way up.
@@ -116,6 +118,9 @@
     /// The status is not valid.
     #[error("invalid status")]
     Status(#[from] http::status::InvalidStatusCode),
+    /// The status ends no request; an entry of an earlier build passes it on.
+    #[error("no answer: {0}")]
+    NoAnswer(#[from] StatusFault),
 }
 
 impl TryFrom<RelayRequest> for PlainRequest {
@@ -260,8 +265,9 @@
     end: Option<BodyEnd>,
 ) -> Result<PlainAnswer, RelayError> {
     let headers = header_map(headers)?;
+    let status = FinalStatus::try_from(status)?;
     Ok(PlainAnswer {
-        status: StatusCode::from_u16(status)?,
+        status: StatusCode::from_u16(status.as_u16())?,
         stamp,
         end: end.unwrap_or_else(|| end_by_headers(&headers, &body)),
         headers,
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -185,7 +185,9 @@
     let (response, connection) = match timeout(limits.silence, sent).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendError::Connect)) => return StreamEnd::Other(RunEnd::Unreachable),
-        Ok(Err(SendError::Gone | SendError::Broken(_))) | Err(_) => return StreamEnd::Broken,
+        Ok(Err(SendError::Gone | SendError::Broken(_) | SendError::NoAnswer(_))) | Err(_) => {
+            return StreamEnd::Broken;
+        }
     };
     let metadata = dialect.read_metadata(response.headers());
     // An answer without the item's ID may be a late copy of an earlier one.
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -19,5 +19,6 @@
 mod run;
 mod severed;
 mod silent;
+mod status_lines;
 mod stored;
 mod support;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,12 +5,14 @@
 //! conversion to it and a `TryFrom` conversion back, which rejects values that the domain type
 //! doesn't allow.
 //!
+//! - [`answer_status`] tells which status ends a request.
 //! - [`body_end`] tells what ended the body of an answer.
 //! - [`codec`] encodes and decodes CBOR.
 //! - [`mirror`] defines wire types and their conversions.
 //! - [`peer`] has the messages that daemons exchange.
 //! - [`http`] has the JSON bodies of the HTTP interfaces.
 
+pub mod answer_status;
 pub mod body_end;
 pub mod codec;
 pub mod http;
