service: a departure long after another one is not its repetition

Cause: a DELETE of an ID that this leader knows no target of counted as the repetition of any departure of the last two minutes, so that the departure of a later start, which the leader hadn't heard of, was confirmed and kept nowhere.

Change: it is a repetition for as long as a message can be late (4 s); after that it is recorded for whichever start announces itself next.

--- a/crates/service/src/registry.rs
+++ b/crates/service/src/registry.rs
@@ -311,9 +311,11 @@
         true
     }
 
-    /// Returns whether a target with this ID departed within the last minutes, as this leader knows.
-    pub fn has_departed(&self, id: &str) -> bool {
-        self.departed.contains_key(id)
+    /// Returns whether a target with this ID departed within the last `window_ms` milliseconds, as this
+    /// leader knows.
+    pub fn has_departed_within(&self, now: ClockTime, id: &str, window_ms: u64) -> bool {
+        let departed = self.departed.get(id);
+        departed.is_some_and(|(_, at)| now.since(*at) <= window_ms)
     }
 
     /// Accepts announcements of a departed target again.
--- a/crates/service/src/starts.rs
+++ b/crates/service/src/starts.rs
@@ -247,7 +247,7 @@
         self.returns.forget(id);
         let Some(entry) = self.registry.get(id) else {
             return StartOutcome {
-                command: self.unknown_departure(id),
+                command: self.unknown_departure(now, id),
                 ..StartOutcome::of(AnnouncementEffect::Ignored)
             };
         };
@@ -263,8 +263,9 @@
 
     /// Returns the command that records the departure of a target that is not known, unless it repeats
     /// an earlier one.
-    fn unknown_departure(&self, id: &str) -> Option<StateCommand> {
-        if self.registry.has_departed(id) || self.state.has_departed_unknown(id) {
+    fn unknown_departure(&self, now: ClockTime, id: &str) -> Option<StateCommand> {
+        let is_repeated = self.registry.has_departed_within(now, id, MAX_LATENESS_MS);
+        if is_repeated || self.state.has_departed_unknown(id) {
             return None;
         }
         Some(StateCommand::LeaveTarget {
--- a/crates/service/tests/starts.rs
+++ b/crates/service/tests/starts.rs
@@ -237,3 +237,32 @@
         }
     }
 }
+
+/// Guards against a departure that counts as a repetition of an earlier start's although it is that of a
+/// later one that the leader has not heard of, and against a repetition that holds up the next start.
+#[rstest]
+#[case::repeated(1_000, true)]
+#[case::of_a_start_that_is_not_known(20_000, false)]
+fn a_second_departure_is_a_repetition_for_as_long_as_a_message_can_be_late(
+    #[case] after_ms: u64,
+    #[case] is_used_at_once: bool,
+) {
+    let mut leader = Leader::default();
+    leader.deliver(
+        START,
+        Ready {
+            born: EARLIER,
+            sequence: 1,
+        },
+    );
+    let gone = START + 10;
+    leader.deliver(gone, Departure);
+    let again = gone + after_ms;
+    leader.deliver(again, Departure);
+    let beats = heartbeats(LATER, again + 100, 6);
+    let (at, first) = beats[0];
+    leader.deliver(at, first);
+    assert_eq!(leader.uses(LATER), is_used_at_once);
+    play(&mut leader, beats[1..].to_vec());
+    assert!(leader.uses(LATER), "once its announcements have gone on");
+}
