--- a/crates/service/src/plan.rs
+++ b/crates/service/src/plan.rs
@@ -201,16 +201,10 @@
 impl RoutingPlan {
     /// Retains the customers of the plan that this one replaces, and those that it has retained.
     pub fn retain_customers(&mut self, earlier: &Self) {
-        let known: BTreeSet<&str> = self.customers.iter().map(|it| it.name.as_str()).collect();
-        let mut former: Vec<CustomerSpec> = Vec::new();
-        for customer in earlier.customers.iter().chain(&earlier.former_customers) {
-            let is_new = former.iter().all(|it| it.name != customer.name);
-            if is_new && !known.contains(customer.name.as_str()) {
-                former.push(customer.clone());
-            }
-        }
-        former.truncate(MAX_FORMER_CUSTOMERS);
-        self.former_customers = former;
+        let mut seen: BTreeSet<&str> = self.customers.iter().map(|it| it.name.as_str()).collect();
+        let known = earlier.customers.iter().chain(&earlier.former_customers);
+        let former = known.filter(|it| seen.insert(&it.name));
+        self.former_customers = former.take(MAX_FORMER_CUSTOMERS).cloned().collect();
     }
 
     /// Validates the plan and returns every fault with the field that it concerns, sorted.
