--- a/crates/service/tests/unserved_starts.rs
+++ b/crates/service/tests/unserved_starts.rs
@@ -5,6 +5,7 @@
 #[path = "common/leader.rs"]
 mod leader;
 
+use proptest::prelude::*;
 use rstest::rstest;
 
 use crate::leader::EARLIER;
@@ -27,6 +28,9 @@
 /// Interval between two announcements of a target, in milliseconds.
 const HEARTBEAT_MS: u64 = 1_200;
 
+/// Time by which a message is late at the most, in milliseconds.
+const LATEST_MS: u64 = 3_900;
+
 /// Number of messages that a sender outside the deployment sends here.
 const FLOOD: u64 = 1_500;
 
@@ -224,3 +228,64 @@
     assert!(leader.state.leaving.len() <= 1 + MAX_UNSERVED);
     assert!(leader.state.is_leaving("x", LATER, true));
 }
+
+/// Change around a target that leaves.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    SetServed(bool),
+    Elect(Election),
+    Deliver(Message),
+}
+
+fn steps() -> impl Strategy<Value = Step> {
+    let ready = (1..9_u64).prop_map(|sequence| Ready {
+        born: LATER,
+        sequence,
+    });
+    prop_oneof![
+        any::<bool>().prop_map(Step::SetServed),
+        Just(Step::Elect(Election::WithView)),
+        Just(Step::Elect(Election::WithoutView)),
+        Just(Step::Deliver(Departure)),
+        ready.prop_map(Step::Deliver),
+    ]
+}
+
+fn play(leader: &mut Leader, now: ClockTime, step: Step) {
+    match step {
+        Step::SetServed(true) => set_services(leader, &["llm"]),
+        Step::SetServed(false) => set_services(leader, &[]),
+        Step::Elect(election) => elect(leader, now, election),
+        Step::Deliver(message) => leader.deliver(now, message),
+    }
+}
+
+proptest! {
+    /// Guards against any order of plans, elections and late messages that brings a start back whose
+    /// leaving was confirmed.
+    #[test]
+    fn no_order_of_plans_and_elections_brings_a_start_back_that_left(
+        before in prop::collection::vec(steps(), 0..6),
+        is_served in any::<bool>(),
+        leaving in prop::sample::select(vec![
+            Draining { born: LATER, sequence: 10 },
+            SaysLeaving { born: LATER },
+            Departure,
+        ]),
+        after in prop::collection::vec((0..LATEST_MS, steps()), 0..10),
+    ) {
+        let mut leader = Leader::default();
+        for step in before {
+            play(&mut leader, START, step);
+        }
+        play(&mut leader, START, Step::SetServed(is_served));
+        let left = START + HEARTBEAT_MS;
+        leader.deliver(left, leaving);
+        let mut after = after;
+        after.sort_by_key(|(at, _)| *at);
+        for (at, step) in after {
+            play(&mut leader, left + at, step);
+            prop_assert!(!leader.uses(LATER));
+        }
+    }
+}
