--- a/crates/daemon/src/platform.rs
+++ b/crates/daemon/src/platform.rs
@@ -4,6 +4,9 @@
 //! tokens. Therefore the clock is checked right before the write, and at the deadline the
 //! connection is reset, so that no data stays in a socket buffer and is sent later.
 
+#[cfg(test)]
+mod tests;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
