--- a/review/standins-3/src/cluster.rs
+++ b/review/standins-3/src/cluster.rs
@@ -2,13 +2,18 @@
 
 use std::fs;
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::path::Path;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
 use std::sync::Arc;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::http::{self, Message};
+use crate::http;
+use crate::http::Message;
 use crate::record::Record;
 
 /// A machine with one process.
--- a/review/standins-3/src/engine.rs
+++ b/review/standins-3/src/engine.rs
@@ -1,13 +1,26 @@
 //! Stand-in of an engine: it announces itself, runs requests for tokens, and answers orders and reports.
 
-use std::io::{self, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex};
-use std::thread::{self, sleep};
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::io;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
-use crate::http::{self, Message, read_message};
+use crate::http;
+use crate::http::Message;
+use crate::http::read_message;
 use crate::json::Json;
 use crate::record::Record;
 
--- a/review/standins-3/src/http.rs
+++ b/review/standins-3/src/http.rs
@@ -1,7 +1,11 @@
 //! A little HTTP/1.1, as much as the stand-ins need.
 
-use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::time::Duration;
 
 /// Head and body of a message.
--- a/review/standins-3/src/main.rs
+++ b/review/standins-3/src/main.rs
@@ -11,10 +11,12 @@
 mod second_answer;
 mod trainer;
 
-use std::path::{Path, PathBuf};
+use std::path::Path;
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use cluster::Cluster;
 use engine::start_platform;
--- a/review/standins-3/src/renewal.rs
+++ b/review/standins-3/src/renewal.rs
@@ -2,13 +2,22 @@
 //! A change of the desired state that is acknowledged afterwards has to be in force.
 
 use std::sync::Arc;
-use std::thread::{scope, sleep};
-use std::time::{Duration, Instant};
+use std::thread::scope;
+use std::thread::sleep;
+use std::time::Duration;
+use std::time::Instant;
 
-use crate::engine::{Deed, Engine, Runs};
+use crate::Stage;
+use crate::Verdict;
+use crate::engine::Deed;
+use crate::engine::Engine;
+use crate::engine::Runs;
 use crate::http;
-use crate::trainer::{HOST, KEY, Trainer, config, job};
-use crate::{Stage, Verdict};
+use crate::trainer::HOST;
+use crate::trainer::KEY;
+use crate::trainer::Trainer;
+use crate::trainer::config;
+use crate::trainer::job;
 
 /// `config-apply-ms`, and a little more for the way.
 const APPLY: Duration = Duration::from_millis(2_500);
--- a/review/standins-3/src/retire.rs
+++ b/review/standins-3/src/retire.rs
@@ -3,10 +3,12 @@
 
 use std::sync::Arc;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
+use crate::Stage;
+use crate::Verdict;
 use crate::trainer::config;
-use crate::{Stage, Verdict};
 
 /// Time within which the desired state must be readable once all machines are back: more than
 /// `recover-s` and `contact-ms`.
--- a/review/standins-3/src/second_answer.rs
+++ b/review/standins-3/src/second_answer.rs
@@ -5,9 +5,14 @@
 use std::thread::sleep;
 use std::time::Duration;
 
-use crate::engine::{Deed, Engine, Runs};
-use crate::trainer::{Trainer, config, job};
-use crate::{Stage, Verdict};
+use crate::Stage;
+use crate::Verdict;
+use crate::engine::Deed;
+use crate::engine::Engine;
+use crate::engine::Runs;
+use crate::trainer::Trainer;
+use crate::trainer::config;
+use crate::trainer::job;
 
 const ENGINES: usize = 4;
 const GROUPS: usize = 40;
--- a/review/standins-3/src/trainer.rs
+++ b/review/standins-3/src/trainer.rs
@@ -2,7 +2,8 @@
 
 use std::net::SocketAddr;
 use std::thread::sleep;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use std::time::Instant;
 
 use crate::http;
 use crate::json::Json;
