Let a leader that retires repair its group, and transfer its lead last

What callers saw: three store machines were added and the three old ones retired at once; from then on a confirmed route got 404, jobs and reads 503, for good.

Cause: a leader whose instance retires transferred its lead at once, to the voter with the most complete log, whether that one retired or not, and proposed nothing. With only retiring voters no leader ever proposed a change. More generally a change of the group had no measure that goes forward: each leader could pass on or undo what the one before had begun, a retired instance that still runs was a spare again and was added and removed every 100 ms, and a member whose link is up but which never answers (failed storage) held a change up for good.

Change: the planner knows which instances retire. Any leader takes the steps: add, promote, remove one voter for each that took its place. A leader that retires transfers its lead as its last step, to a voter that stays and has all committed entries. Retired instances are never added. A voter too many is removed. A member that doesn't answer for 10 s is replaced, and is the last choice as a spare.

--- a/crates/coordination/src/consensus/lease.rs
+++ b/crates/coordination/src/consensus/lease.rs
@@ -19,7 +19,15 @@
     /// Number of the current round, or zero before the first.
     round: u64,
     sent: VecDeque<(u64, ClockTime)>,
-    answered: BTreeMap<NodeId, u64>,
+    answered: BTreeMap<NodeId, AnsweredRound>,
+}
+
+/// Latest round that a node answered.
+#[derive(Debug, Clone, Copy)]
+struct AnsweredRound {
+    round: u64,
+    /// When the round was sent, or an earlier one of which that is known.
+    sent_at: Option<ClockTime>,
 }
 
 impl RoundTable {
@@ -40,8 +48,27 @@
 
     /// Records that `node` answered `round`.
     pub(super) fn answer(&mut self, node: NodeId, round: u64) {
-        let answered = self.answered.entry(node).or_default();
-        *answered = round.max(*answered);
+        let sent_at = self.sent_at(round);
+        let answered = self.answered.entry(node).or_insert(AnsweredRound {
+            round,
+            sent_at: None,
+        });
+        answered.round = round.max(answered.round);
+        answered.sent_at = answered.sent_at.max(sent_at);
+    }
+
+    /// Returns when a round was sent, if that is still known.
+    fn sent_at(&self, round: u64) -> Option<ClockTime> {
+        let mut sent = self.sent.iter();
+        let (_, time) = sent.find(|(number, _)| *number == round)?;
+        Some(*time)
+    }
+
+    /// Returns for each node that has answered when the latest round that it answered was sent.
+    pub(super) fn answered_at(&self) -> BTreeMap<NodeId, ClockTime> {
+        let answered = self.answered.iter();
+        let known = answered.filter_map(|(node, it)| Some((*node, it.sent_at?)));
+        known.collect()
     }
 
     /// Returns when the latest round that a quorum has answered was sent.
@@ -58,12 +85,11 @@
             .keys()
             .map(|node| match *node == local {
                 true => self.round,
-                false => self.answered.get(node).copied().unwrap_or_default(),
+                false => self.answered.get(node).map_or(0, |it| it.round),
             })
             .collect();
         rounds.sort_unstable_by(|left, right| right.cmp(left));
         let round = *rounds.get(membership.quorum() - 1)?;
-        let (_, time) = self.sent.iter().find(|(number, _)| *number == round)?;
-        Some(*time)
+        self.sent_at(round)
     }
 }
--- a/crates/coordination/src/consensus/log.rs
+++ b/crates/coordination/src/consensus/log.rs
@@ -197,6 +197,13 @@
         )
     }
 
+    /// Returns the membership in effect at `index`, which must not be compacted.
+    pub(super) fn membership_at(&self, index: u64) -> &GroupMembership {
+        let mut memberships = self.memberships.iter().rev();
+        let found = memberships.find(|(at, _)| *at <= index);
+        found.map_or(&self.snapshot.membership, |(_, membership)| membership)
+    }
+
     /// Appends entries, after dropping all existing ones from the first new index on.
     pub fn append(&mut self, entries: Vec<LogEntry>) {
         let Some(first) = entries.first() else {
@@ -254,14 +261,10 @@
             return None;
         }
         let term = self.term_at(index)?;
-        let mut memberships = self.memberships.iter().rev();
-        let membership = memberships
-            .find(|(at, _)| *at <= index)
-            .map_or(&self.snapshot.membership, |(_, membership)| membership);
         Some(LogSnapshot {
             index,
             term,
-            membership: membership.clone(),
+            membership: self.membership_at(index).clone(),
             data: SnapshotData::Stored,
         })
     }
--- a/crates/coordination/src/consensus/membership.rs
+++ b/crates/coordination/src/consensus/membership.rs
@@ -43,6 +43,11 @@
         self.is_voter(node) || self.learners.contains_key(&node)
     }
 
+    /// Returns the record of a voter or learner.
+    pub fn record(&self, node: NodeId) -> Option<&MemberRecord> {
+        self.voters.get(&node).or_else(|| self.learners.get(&node))
+    }
+
     /// Returns all members with their records, voters first.
     pub fn members(&self) -> impl Iterator<Item = (NodeId, &MemberRecord)> {
         self.voters
--- a/crates/coordination/src/consensus/mod.rs
+++ b/crates/coordination/src/consensus/mod.rs
@@ -28,6 +28,7 @@
 mod replication;
 mod role;
 mod start;
+mod status;
 mod stored;
 
 #[cfg(test)]
@@ -48,3 +49,4 @@
 pub use role::NodeRole;
 pub use start::ConsensusConfig;
 pub use start::NodeStart;
+pub use status::GroupStatus;
--- a/crates/coordination/src/consensus/node.rs
+++ b/crates/coordination/src/consensus/node.rs
@@ -20,6 +20,7 @@
 use super::role::role_chart;
 use super::start::ConsensusConfig;
 use super::start::NodeStart;
+use super::status::GroupStatus;
 use crate::chart::StateChart;
 use crate::clock::ClockTime;
 use crate::clock::DRIFT_ALLOWANCE_PER_MILLE;
@@ -173,6 +174,24 @@
         self.log.membership().1
     }
 
+    /// Returns whether an instance has no member in the group.
+    pub fn has_left(&self, name: &str) -> bool {
+        let mut members = self.membership().members();
+        !members.any(|(_, record)| record.name == name)
+    }
+
+    /// Returns what this leader knows of its group.
+    pub fn group_status(&self) -> GroupStatus {
+        let progress = self.progress.iter();
+        let caught_up = progress.filter(|(_, progress)| progress.matched >= self.commit);
+        GroupStatus {
+            leader: self.node,
+            membership: self.membership().clone(),
+            answered_at: self.rounds.answered_at(),
+            caught_up: caught_up.map(|(node, _)| *node).collect(),
+        }
+    }
+
     /// Returns the term and index of the log entry that set the membership, by which an older
     /// membership is told from a newer one.
     pub fn membership_version(&self) -> (u64, u64) {
--- a/crates/coordination/src/consensus/proposal.rs
+++ b/crates/coordination/src/consensus/proposal.rs
@@ -1,6 +1,8 @@
 //! Calls that change a group: bootstrap, commands, membership changes, compaction and
 //! leadership transfer.
 
+use std::collections::BTreeSet;
+
 use bytes::Bytes;
 
 use super::log::LogSnapshot;
@@ -117,11 +119,16 @@
         self.log.evict_commands(self.synced, keep_bytes);
     }
 
-    /// Releases the lease and asks the voter with the most complete log to start an election.
+    /// Releases the lease and asks the voter with the most complete log among `successors` to start an
+    /// election.
     ///
-    /// Returns `false`, and keeps the lease, if this node isn't the leader or knows of no
-    /// other voter.
-    pub fn transfer_leadership(&mut self, out: &mut Vec<ConsensusOutput>) -> bool {
+    /// Returns `false`, and keeps the lease, if this node isn't the leader, or knows of no other voter
+    /// among `successors`.
+    pub fn transfer_leadership(
+        &mut self,
+        successors: &BTreeSet<NodeId>,
+        out: &mut Vec<ConsensusOutput>,
+    ) -> bool {
         if self.role != NodeRole::Leader {
             return false;
         }
@@ -129,7 +136,7 @@
         let best = self
             .progress
             .iter()
-            .filter(|(node, _)| membership.is_voter(**node))
+            .filter(|(node, _)| membership.is_voter(**node) && successors.contains(node))
             .max_by_key(|(_, progress)| progress.matched);
         let Some((to, _)) = best else {
             return false;
--- a/crates/coordination/tests/parts.rs
+++ b/crates/coordination/tests/parts.rs
@@ -11,6 +11,7 @@
 use bergamotlane_coordination::chart::StateChart;
 use bergamotlane_coordination::clock::ClockTime;
 use bergamotlane_coordination::consensus::GroupMembership;
+use bergamotlane_coordination::consensus::GroupStatus;
 use bergamotlane_coordination::consensus::MemberRecord;
 use bergamotlane_coordination::freshness::FollowerTable;
 use bergamotlane_coordination::freshness::ViewFreshness;
@@ -143,6 +144,7 @@
     let config = RepairConfig {
         voter_count: 3,
         lost_after_ms: 1_000,
+        silent_after_ms: 10_000,
     };
     let mut planner = RepairPlanner::new(ClockTime(0), config);
     for node in seen {
@@ -162,6 +164,29 @@
     }
 }
 
+/// Returns the status of a group that node 1 leads, of which the nodes `answered` answered it at `now`.
+fn status(now: u64, members: GroupMembership, answered: &[u64]) -> GroupStatus {
+    let answered_at = answered.iter().map(|it| (NodeId(*it), ClockTime(now)));
+    GroupStatus {
+        leader: NodeId(1),
+        answered_at: answered_at.collect(),
+        caught_up: answered.iter().map(|it| NodeId(*it)).collect(),
+        membership: members,
+    }
+}
+
+fn step_text(step: Option<&RepairStep>) -> Option<String> {
+    step.map(|step| match step {
+        RepairStep::AddLearner(node, _) => format!("add {}", node.0),
+        RepairStep::Promote(node) => format!("promote {}", node.0),
+        RepairStep::Remove(node) => format!("remove {}", node.0),
+        RepairStep::Transfer(nodes) => {
+            let nodes: Vec<String> = nodes.iter().map(|it| it.0.to_string()).collect();
+            format!("transfer to {}", nodes.join(" or "))
+        }
+    })
+}
+
 #[rstest]
 #[case::a_complete_group_needs_no_step(&[2, 3, 9], &[1, 2, 3], &[], None)]
 #[case::a_lost_voter_is_replaced_from_its_zone(&[2, 6, 8], &[1, 2, 3], &[], Some("add 6"))]
@@ -170,23 +195,105 @@
 #[case::a_lost_learner_is_removed(&[2, 3], &[1, 2, 3], &[6], Some("remove 6"))]
 #[case::without_a_spare_nothing_changes(&[2], &[1, 2, 3], &[], None)]
 #[case::a_new_group_grows(&[5], &[1], &[], Some("add 5"))]
+#[case::a_voter_too_many_leaves_the_fullest_zone(&[2, 3, 4], &[1, 2, 3, 4], &[], Some("remove 4"))]
 fn repair_takes_one_step_at_a_time(
     #[case] seen: &[u64],
     #[case] voters: &[u64],
     #[case] learners: &[u64],
     #[case] expected: Option<&str>,
 ) {
-    let planner = planner(5_000, seen);
-    let membership = membership(voters, learners);
-    let step = planner.next_step(ClockTime(5_000), NodeId(1), &membership);
-    let text = step.as_ref().map(|step| match step {
-        RepairStep::AddLearner(node, _) => format!("add {}", node.0),
-        RepairStep::Promote(node) => format!("promote {}", node.0),
-        RepairStep::Remove(node) => format!("remove {}", node.0),
-    });
-    assert_eq!(text.as_deref(), expected);
+    let mut planner = planner(5_000, seen);
+    let status = status(5_000, membership(voters, learners), seen);
+    let step = planner.next_step(ClockTime(5_000), &status);
+    assert_eq!(step_text(step.as_ref()).as_deref(), expected);
     if let Some(step) = step {
-        let next = step.apply(&membership).unwrap();
-        assert!(membership.is_single_step(&next));
+        let next = step.apply(&status).unwrap();
+        assert!(status.membership.is_single_step(&next));
+    }
+}
+
+/// Guards against a leader that passes a retirement on instead of carrying it out, and against one that
+/// removes so many that those which remain are no quorum.
+#[rstest]
+#[case::a_voter_is_replaced_first(&[2], &[1, 2, 3], &[], Some("add 5"))]
+#[case::then_it_is_removed(&[2], &[1, 2, 3, 5], &[], Some("remove 2"))]
+#[case::a_leader_that_retires_repairs_the_group_first(&[1], &[1, 2, 3], &[], Some("add 4"))]
+#[case::and_transfers_its_lead_last(&[1], &[1, 2, 3, 4], &[], Some("transfer to 2 or 3 or 4"))]
+#[case::all_voters_retire(&[1, 2, 3], &[1, 2, 3], &[], Some("add 5"))]
+#[case::one_goes_for_each_that_has_come(&[1, 2, 3], &[1, 2, 3, 5], &[], Some("remove 2"))]
+#[case::the_leader_is_the_last(&[1, 2, 3], &[1, 4, 5, 6], &[], Some("transfer to 4 or 5 or 6"))]
+#[case::a_learner_that_retires_goes(&[5], &[1, 2, 3], &[5], Some("remove 5"))]
+#[case::a_spare_that_retires_is_not_added(&[2, 4, 5, 6], &[1, 2, 3], &[], None)]
+fn instances_that_retire_are_replaced_one_by_one(
+    #[case] retiring: &[u64],
+    #[case] voters: &[u64],
+    #[case] learners: &[u64],
+    #[case] expected: Option<&str>,
+) {
+    let others = [2, 3, 4, 5, 6];
+    let mut planner = planner(5_000, &others);
+    let names: Vec<String> = retiring.iter().map(|it| record(*it).name).collect();
+    planner.record_retiring(&names);
+    let status = status(5_000, membership(voters, learners), &others);
+    let step = planner.next_step(ClockTime(5_000), &status);
+    assert_eq!(step_text(step.as_ref()).as_deref(), expected);
+}
+
+/// Guards against a leader that passes its lead to a voter which lacks entries and can't be elected.
+#[rstest]
+#[case::one_lacks_entries(&[3, 4], Some("transfer to 3 or 4"))]
+#[case::all_lack_entries(&[], None)]
+fn a_leader_that_retires_waits_for_a_voter_that_has_all_entries(
+    #[case] caught_up: &[u64],
+    #[case] expected: Option<&str>,
+) {
+    let mut planner = planner(5_000, &[2, 3, 4]);
+    planner.record_retiring(&[record(1).name]);
+    let mut status = status(5_000, membership(&[1, 2, 3, 4], &[]), &[2, 3, 4]);
+    status.caught_up = caught_up.iter().map(|it| NodeId(*it)).collect();
+    let step = planner.next_step(ClockTime(5_000), &status);
+    assert_eq!(step_text(step.as_ref()).as_deref(), expected);
+}
+
+/// Guards against a member that is connected but never answers, as one whose storage has failed, which
+/// keeps a change of the group from ever coming to its end.
+#[test]
+fn a_member_that_shows_signs_of_life_but_never_answers_is_replaced() {
+    let mut planner = planner(0, &[2, 6, 9]);
+    let group = membership(&[1, 2], &[6]);
+    let mut steps = Vec::new();
+    for now in (0..10_200).step_by(100) {
+        for node in [2, 6, 9] {
+            planner.record_seen(ClockTime(now), NodeId(node), record(node));
+        }
+        let step = planner.next_step(ClockTime(now), &status(now, group.clone(), &[2]));
+        steps.extend(step.filter(|it| *it != RepairStep::Promote(NodeId(6))));
     }
+    assert_eq!(steps, [RepairStep::Remove(NodeId(6))]);
+    let status = status(10_200, membership(&[1, 2], &[]), &[2]);
+    let step = planner.next_step(ClockTime(10_200), &status);
+    assert_eq!(step_text(step.as_ref()).as_deref(), Some("add 9"));
+}
+
+/// Guards against a step that skips a stage, above all the removal of a leader that still leads.
+#[rstest]
+#[case::a_member_is_not_added(RepairStep::AddLearner(NodeId(2), record(2)), None)]
+#[case::a_voter_is_not_promoted(RepairStep::Promote(NodeId(2)), None)]
+#[case::a_spare_is_not_promoted(RepairStep::Promote(NodeId(9)), None)]
+#[case::a_leader_is_not_removed(RepairStep::Remove(NodeId(1)), None)]
+#[case::a_spare_is_not_removed(RepairStep::Remove(NodeId(9)), None)]
+#[case::a_spare_is_added(
+    RepairStep::AddLearner(NodeId(9), record(9)),
+    Some((&[1, 2, 3][..], &[6, 9][..]))
+)]
+#[case::a_learner_is_promoted(RepairStep::Promote(NodeId(6)), Some((&[1, 2, 3, 6][..], &[][..])))]
+#[case::a_learner_is_removed(RepairStep::Remove(NodeId(6)), Some((&[1, 2, 3][..], &[][..])))]
+#[case::a_voter_is_removed(RepairStep::Remove(NodeId(2)), Some((&[1, 3][..], &[6][..])))]
+fn a_step_is_taken_only_from_its_stage(
+    #[case] step: RepairStep,
+    #[case] expected: Option<(&[u64], &[u64])>,
+) {
+    let status = status(0, membership(&[1, 2, 3], &[6]), &[]);
+    let expected = expected.map(|(voters, learners)| membership(voters, learners));
+    assert_eq!(step.apply(&status), expected);
 }
--- a/crates/daemon/src/control/leader.rs
+++ b/crates/daemon/src/control/leader.rs
@@ -43,6 +43,10 @@
 /// Time without an ask after which an instance is no longer live, in milliseconds.
 const INSTANCE_EXPIRY_MS: u64 = 3_000;
 
+/// Time without an answer to the leader after which a voter is replaced although it sends asks, in
+/// milliseconds.
+const VOTER_SILENT_MS: u64 = 10_000;
+
 /// Interval of the leader's periodic tasks, such as group repair and fleet planning, in
 /// milliseconds.
 const TASK_INTERVAL_MS: u64 = 200;
@@ -113,6 +117,7 @@
         let repair = RepairConfig {
             voter_count: self.config.voters,
             lost_after_ms: self.config.voter_lost_ms,
+            silent_after_ms: VOTER_SILENT_MS.max(self.config.voter_lost_ms),
         };
         let fleet = FleetConfig {
             shrink_after_ms: self.config.shrink_ms,
@@ -155,9 +160,11 @@
 
     /// Transfers leadership to another voter, if this instance leads.
     pub(super) fn transfer_leadership(&mut self) {
-        if let Some(voter) = &mut self.voter
-            && voter.node.transfer_leadership(&mut self.outputs)
-        {
+        let Some(voter) = &mut self.voter else {
+            return;
+        };
+        let voters = voter.node.membership().voters.keys().copied().collect();
+        if voter.node.transfer_leadership(&voters, &mut self.outputs) {
             spdlog::info!("consensus: started a leadership transfer");
         }
     }
--- a/crates/daemon/src/control/leader_tasks.rs
+++ b/crates/daemon/src/control/leader_tasks.rs
@@ -40,11 +40,12 @@
             self.propose(&ControlCommand::MarkFormed {}, ReplyTo::Nobody);
             return;
         }
-        let step = leader.repair.next_step(time, voter.node.id(), &membership);
+        let status = voter.node.group_status();
+        let step = leader.repair.next_step(time, &status);
         let Some(step) = step else {
             return;
         };
-        let Some(next) = step.apply(&membership) else {
+        let Some(next) = step.apply(&status) else {
             return;
         };
         let proposed = voter.node.propose_membership(time, next, &mut self.outputs);
--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -116,13 +116,7 @@
                 self.reply(origin, reply);
             }
             LeaderCall::Retire(instance) => self.retire(instance, origin),
-            LeaderCall::RetireState(instance) => {
-                let reply = match self.is_known_keeper(&instance) {
-                    true => LeaderReply::Retired(self.is_retired(&instance)),
-                    false => LeaderReply::Missing,
-                };
-                self.reply(origin, reply);
-            }
+            LeaderCall::RetireState(instance) => self.report_retirement(&instance, origin),
         }
     }
 
@@ -345,20 +339,4 @@
             None => LeaderReply::NotLeader,
         }
     }
-
-    /// Marks an instance for removal if enough keepers remain without it.
-    fn retire(&mut self, instance: String, origin: CallOrigin) {
-        if !self.is_known_keeper(&instance) {
-            self.reply(origin, LeaderReply::Missing);
-            return;
-        }
-        if self.state.retiring.contains(&instance) {
-            self.reply(origin, LeaderReply::Done);
-            return;
-        }
-        match self.can_retire(&instance) {
-            true => self.propose(&StateCommand::Retire(instance), origin),
-            false => self.reply(origin, LeaderReply::Conflict),
-        }
-    }
 }
--- a/crates/service/src/keeper/dispatch.rs
+++ b/crates/service/src/keeper/dispatch.rs
@@ -156,7 +156,7 @@
                 self.update_peers();
             }
             KeeperEvent::TransferLeadership(done) => {
-                self.transfer_leadership();
+                self.leave_leadership();
                 done.send(()).ok();
             }
         }
--- a/crates/service/src/keeper/lead.rs
+++ b/crates/service/src/keeper/lead.rs
@@ -40,6 +40,7 @@
 use crate::weights::WeightPlanner;
 use crate::work::RunKey;
 use bergamotlane_coordination::clock::ClockTime;
+use bergamotlane_coordination::ident::NodeId;
 use bergamotlane_coordination::repair::RepairConfig;
 use bergamotlane_coordination::repair::RepairPlanner;
 use bergamotlane_policy::rate::RateLedger;
@@ -48,6 +49,10 @@
 /// Silence after which a voter is replaced, if a spare is available, in milliseconds.
 const VOTER_LOST_MS: u64 = 1_500;
 
+/// Time without an answer to the leader after which a voter is replaced although its link is up, in
+/// milliseconds. It is longer than a disk stalls.
+const VOTER_SILENT_MS: u64 = 10_000;
+
 /// Interval of group repair, usage windows, usage reports and checks for silent targets, in
 /// milliseconds.
 const DUTY_INTERVAL_MS: u64 = 100;
@@ -179,6 +184,7 @@
         let repair = RepairConfig {
             voter_count: self.settings.voters,
             lost_after_ms: VOTER_LOST_MS,
+            silent_after_ms: VOTER_SILENT_MS,
         };
         let mut registry = TargetRegistry::default();
         registry.restore(time, self.last_targets.values());
@@ -252,12 +258,15 @@
         }
     }
 
-    /// Starts a transfer of leadership to another voter, if this keeper leads.
-    pub(super) fn transfer_leadership(&mut self) {
+    /// Starts a transfer of leadership, if this keeper leads, to a voter of the first of these sets that
+    /// has another one.
+    pub(super) fn transfer_leadership(&mut self, successors: &[&BTreeSet<NodeId>]) {
         self.list_held_results();
-        if let Some(voter) = &mut self.voter
-            && voter.node.transfer_leadership(&mut self.outputs)
-        {
+        let Some(voter) = &mut self.voter else {
+            return;
+        };
+        let mut choices = successors.iter();
+        if choices.any(|it| voter.node.transfer_leadership(it, &mut self.outputs)) {
             spdlog::info!("lead: transfer to another voter requested");
         }
     }
