Remove no voter on the belief that another one is live

What callers saw: after a lost disk and a new leader, the group kept the dead voter and had removed a live one; the next lost disk left no quorum.

Cause: a voter of which a new leader had not heard counted as live for 1.5 s, and one whose link still stood for as long. So a live voter that retired was removed while the dead one stayed.

Change: a member counts as live only while it answers the leader's heartbeats (the heartbeat that it answered last was sent within 500 ms). One that isn't known to be live or lost counts as neither: nothing is removed before enough are known to be live.

Evidence: the seeded group checks that no leader removes a running voter while fewer than the wanted number remain, not counting those that were down before its term.

--- a/crates/coordination/src/consensus/tests/harness.rs
+++ b/crates/coordination/src/consensus/tests/harness.rs
@@ -133,6 +133,10 @@
     pub(super) disk_lost: bool,
     /// Instances that retire, as far as the member has applied it.
     pub(super) retiring: BTreeSet<String>,
+    /// Since when the process has not been running.
+    pub(super) down_since: Option<u64>,
+    /// When the member was last elected.
+    led_from: u64,
 }
 
 /// Message in transit.
@@ -286,6 +290,8 @@
                 planner: None,
                 disk_lost: false,
                 retiring: BTreeSet::new(),
+                down_since: Some(self.time),
+                led_from: 0,
             },
         );
     }
@@ -306,6 +312,7 @@
         (member.hash, member.retiring) = read_state(&disk.snapshot.data);
         member.applied = disk.snapshot.index;
         member.planner = None;
+        member.down_since = None;
         let start = NodeStart {
             node: id,
             vote: disk.vote,
@@ -387,6 +394,7 @@
                         };
                         let member = self.members.get_mut(&id).unwrap();
                         member.planner = Some(RepairPlanner::new(now, config));
+                        member.led_from = self.time;
                     }
                 }
                 _ => unreachable!("durable outputs are handled above"),
@@ -443,8 +451,10 @@
 
     /// Stops a member's process until a time.
     pub(super) fn stop(&mut self, id: NodeId, until: u64) {
+        let time = self.time;
         let member = self.members.get_mut(&id).unwrap();
         member.node = None;
+        member.down_since.get_or_insert(time);
         member.down_until = until;
     }
 
@@ -627,6 +637,9 @@
         let Some(step) = step else {
             return;
         };
+        if let RepairStep::Remove(removed) = &step {
+            self.assert_live_voters_remain(id, *removed, &status);
+        }
         self.call_node(id, |node, now, out| match &step {
             RepairStep::Transfer(successors) => {
                 node.transfer_leadership(successors, out);
@@ -639,6 +652,26 @@
         });
     }
 
+    /// Checks that a leader removes no running voter while too few others would remain, not counting
+    /// those that have been down since before its term.
+    fn assert_live_voters_remain(&self, leader: NodeId, removed: NodeId, status: &GroupStatus) {
+        let led_from = self.members[&leader].led_from;
+        let is_dead = |node: &NodeId| {
+            let member = &self.members[node];
+            member.down_since.is_some_and(|it| it < led_from)
+        };
+        if is_dead(&removed) || !status.membership.is_voter(removed) {
+            return;
+        }
+        let voters = status.membership.voters.keys();
+        let remaining = voters.filter(|it| **it != removed && !is_dead(it));
+        assert!(
+            remaining.count() >= self.wanted_voters,
+            "{leader} removes {removed} from {:?}",
+            status.membership.voters.keys()
+        );
+    }
+
     /// Injects random faults: frozen processes, crashes, partitions and lost disks.
     fn inject_faults(&mut self) {
         let ids: Vec<NodeId> = self.members.keys().copied().collect();
--- a/crates/coordination/src/repair.rs
+++ b/crates/coordination/src/repair.rs
@@ -16,6 +16,10 @@
 use crate::consensus::MemberRecord;
 use crate::ident::NodeId;
 
+/// Time since the heartbeat that a member answered last for which it counts as live, in milliseconds. It
+/// is a few heartbeats long, and much shorter than the time after which a member counts as lost.
+const LIVE_WITHIN_MS: u64 = 500;
+
 /// Desired size of the group, and when a voter counts as lost.
 #[derive(Debug, Clone, Copy)]
 pub struct RepairConfig {
@@ -138,8 +142,10 @@
 /// What a leader believes of a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum MemberBelief {
-    /// It counts as live.
+    /// It is this leader, or has answered it lately.
     Live,
+    /// It may be live or lost: it has not answered this leader lately.
+    Unheard,
     /// It counts as lost.
     Lost,
 }
@@ -172,7 +178,7 @@
 /// Voters by what is to become of them.
 #[derive(Debug, Default)]
 struct VoterGroups {
-    /// Voters that stay.
+    /// Voters that stay, whether live or unheard.
     staying: Vec<NodeId>,
     /// Voters that stay and are known to be live.
     successors: BTreeSet<NodeId>,
@@ -218,8 +224,9 @@
     ///
     /// Learners that are lost or retire are removed first. Lost voters are removed as soon as the
     /// voters that are known to be live suffice without them, and then a voter that retires for each
-    /// one that took its place. Returns `None` if the group needs no repair or no spare node is
-    /// available.
+    /// one that took its place. A voter that wasn't heard of yet counts neither as live nor as lost,
+    /// so that nothing is removed on the belief that it is there. Returns `None` if the group needs no
+    /// repair, if no spare node is available, or if more has to be heard first.
     pub fn next_step(&mut self, now: ClockTime, status: &GroupStatus) -> Option<RepairStep> {
         self.observe(now, status);
         let membership = &status.membership;
@@ -271,7 +278,7 @@
             trace.member_since.get_or_insert(now);
             let answered_at = status.answered_at.get(&node).copied();
             trace.answered_at = trace.answered_at.max(answered_at);
-            if answered_at.is_some_and(|it| now.since(it) <= self.config.lost_after_ms) {
+            if answered_at.is_some_and(|it| now.since(it) <= LIVE_WITHIN_MS) {
                 trace.is_unresponsive = false;
             }
         }
@@ -295,7 +302,11 @@
         if self.is_lost(now, node) || self.is_superseded(node, record) {
             return MemberBelief::Lost;
         }
-        MemberBelief::Live
+        let answered_at = self.nodes.get(&node).and_then(|it| it.answered_at);
+        match answered_at.is_some_and(|it| now.since(it) <= LIVE_WITHIN_MS) {
+            true => MemberBelief::Live,
+            false => MemberBelief::Unheard,
+        }
     }
 
     /// Returns whether a node has shown no sign of life for too long, or has not answered as a member.
@@ -347,6 +358,7 @@
                 MemberBelief::Lost => groups.lost.push(node),
                 _ if retires && node == status.leader => groups.leaving_leader = Some(node),
                 _ if retires => groups.leaving.push(node),
+                MemberBelief::Unheard => groups.staying.push(node),
                 MemberBelief::Live => {
                     groups.staying.push(node);
                     groups.successors.insert(node);
--- a/crates/coordination/tests/parts.rs
+++ b/crates/coordination/tests/parts.rs
@@ -255,6 +255,24 @@
     assert_eq!(step_text(step.as_ref()).as_deref(), expected);
 }
 
+/// Guards against a new leader that takes a voter for live which it has not heard of, and removes a live
+/// one in its place: the group is then left with the lost one.
+#[rstest]
+#[case::not_heard_of_yet(100, &[2, 3], None)]
+#[case::known_to_be_lost(1_100, &[2, 3], Some("remove 4"))]
+#[case::heard_of(100, &[2, 3, 4], Some("remove 2"))]
+fn no_voter_is_removed_on_the_belief_that_another_one_is_live(
+    #[case] now: u64,
+    #[case] answered: &[u64],
+    #[case] expected: Option<&str>,
+) {
+    let mut planner = planner(now, answered);
+    planner.record_retiring(&[record(2).name]);
+    let status = status(now, membership(&[1, 2, 3, 4], &[]), answered);
+    let step = planner.next_step(ClockTime(now), &status);
+    assert_eq!(step_text(step.as_ref()).as_deref(), expected);
+}
+
 /// Guards against a member that is connected but never answers, as one whose storage has failed, which
 /// keeps a change of the group from ever coming to its end.
 #[test]
