Judge an order to retire together with those that aren't committed yet

What callers saw: of four store machines two were ordered to retire at once, both orders got 200, and two lost disks, one at a time, then lost everything.

Cause: an order was judged by the retirements that were applied. Of two orders within the time of a commit both passed. Keepers whose link still stood counted as remaining although they were gone.

Change: the planner of the leader judges the order with all those that it has proposed, by the instances that are known to be live. While too little is known (a new leader, a member that has not answered yet) the order gets 503 and is sent again, instead of a 409 that ends it.

--- a/crates/coordination/src/consensus/tests/retirements.rs
+++ b/crates/coordination/src/consensus/tests/retirements.rs
@@ -15,6 +15,7 @@
 use super::harness::instance_name;
 use super::harness::retire_command;
 use super::*;
+use crate::repair::RetirementVerdict;
 
 /// Number of voters that each group should have; it bears the loss of one disk at a time.
 const WANTED_VOTERS: usize = 3;
@@ -154,6 +155,16 @@
     }
 
     fn order_retirement(&mut self, leader: NodeId, name: &str) {
+        let now = self.harness.local_time(leader);
+        let member = self.harness.members.get_mut(&leader).unwrap();
+        let (Some(planner), Some(node)) = (&mut member.planner, &member.node) else {
+            return;
+        };
+        let verdict = planner.judge_retirement(now, &node.group_status(), name);
+        if verdict != RetirementVerdict::Accepted {
+            return;
+        }
+        planner.record_retiring([&name.to_owned()]);
         self.harness.call_node(leader, |node, now, out| {
             node.propose(now, retire_command(name), out).ok();
         });
@@ -189,6 +200,14 @@
                 "seed {seed}: {leader} has {name} in its group, whose retirement was completed"
             );
         }
+        let members = self.harness.members.values().filter(|it| !it.disk_lost);
+        let names: BTreeSet<&String> = members.map(|it| &it.record.name).collect();
+        let remaining = names.iter().filter(|it| !member.retiring.contains(**it));
+        assert!(
+            remaining.count() >= WANTED_VOTERS,
+            "seed {seed}: too few remain beside {:?}",
+            member.retiring
+        );
     }
 
     /// Lets the fault of this phase happen if a leader has appended a change of the membership.
@@ -364,6 +383,18 @@
     }
 }
 
+/// Guards against orders that are accepted because each is judged without the others.
+#[test]
+fn orders_that_would_leave_too_few_are_not_accepted_together() {
+    for seed in 0..8 {
+        let mut group = RetiringGroup::new(seed, 1, 0);
+        group.run(2_000, true);
+        group.order([1, 2, 3]);
+        group.assert_recovers();
+        assert_eq!(group.completed.len(), 1, "seed {seed}");
+    }
+}
+
 /// Guards against a retirement that is never completed, or completes by removing live voters, because a
 /// lost voter is being replaced at the same time.
 #[rstest]
@@ -436,7 +467,7 @@
         let mut group = RetiringGroup::new(seed, 3, 0);
         group.run(2_000, true);
         for _ in 0..4 {
-            let added = 4;
+            let added = group.harness.random.random_range(0..=2);
             let highest = group.add_spares(added);
             let random = &mut group.harness.random;
             let fault = RANDOM_FAULTS[random.random_range(0..RANDOM_FAULTS.len())];
--- a/crates/coordination/src/repair.rs
+++ b/crates/coordination/src/repair.rs
@@ -139,6 +139,17 @@
     }
 }
 
+/// Whether an instance may retire.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetirementVerdict {
+    /// It may: enough instances remain that are known to be live.
+    Accepted,
+    /// Too few instances would remain.
+    TooFew,
+    /// Too little is known yet of the instances that would remain.
+    Unsure,
+}
+
 /// What a leader believes of a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum MemberBelief {
@@ -220,6 +231,46 @@
         }
     }
 
+    /// Returns whether an instance may retire beside those that do already.
+    ///
+    /// Only instances that are known to be live count as ones that remain.
+    pub fn judge_retirement(
+        &mut self,
+        now: ClockTime,
+        status: &GroupStatus,
+        name: &str,
+    ) -> RetirementVerdict {
+        self.observe(now, status);
+        let stays = |it: &&MemberRecord| it.name != name && !self.retiring.contains(&it.name);
+        let members = status.membership.members();
+        let lost_or_live = members.map(|(node, record)| {
+            let belief = self.belief(now, status.leader, node, record);
+            (belief, record)
+        });
+        let mut live: BTreeSet<&str> = BTreeSet::new();
+        let mut unheard: BTreeSet<&str> = BTreeSet::new();
+        for (belief, record) in lost_or_live.filter(|(_, it)| stays(it)) {
+            match belief {
+                MemberBelief::Live => live.insert(&record.name),
+                MemberBelief::Unheard => unheard.insert(&record.name),
+                MemberBelief::Lost => false,
+            };
+        }
+        let spares = self.spares(now, &status.membership);
+        live.extend(
+            spares
+                .filter(|(_, it, _)| stays(it))
+                .map(|(_, it, _)| it.name.as_str()),
+        );
+        let is_new = now.since(self.started_at) <= self.config.lost_after_ms;
+        let wanted = self.config.voter_count;
+        match live.len() >= wanted {
+            true => RetirementVerdict::Accepted,
+            false if is_new || live.union(&unheard).count() >= wanted => RetirementVerdict::Unsure,
+            false => RetirementVerdict::TooFew,
+        }
+    }
+
     /// Returns the next repair step of the leader that has this `status`.
     ///
     /// Learners that are lost or retire are removed first. Lost voters are removed as soon as the
--- a/crates/coordination/tests/parts.rs
+++ b/crates/coordination/tests/parts.rs
@@ -20,6 +20,7 @@
 use bergamotlane_coordination::repair::RepairConfig;
 use bergamotlane_coordination::repair::RepairPlanner;
 use bergamotlane_coordination::repair::RepairStep;
+use bergamotlane_coordination::repair::RetirementVerdict;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum DoorState {
@@ -293,6 +294,27 @@
     assert_eq!(step_text(step.as_ref()).as_deref(), Some("add 9"));
 }
 
+/// Guards against orders that leave too few instances because each is judged without the others, or by
+/// instances that are gone.
+#[rstest]
+#[case::enough_remain(100, &[2, 3, 4], &[], RetirementVerdict::Accepted)]
+#[case::another_order_was_accepted(2_000, &[2, 3, 4], &[2], RetirementVerdict::TooFew)]
+#[case::one_is_lost(2_000, &[2, 3], &[], RetirementVerdict::TooFew)]
+#[case::one_was_not_heard_of_yet(100, &[2, 3], &[], RetirementVerdict::Unsure)]
+fn an_order_to_retire_is_judged_by_the_instances_that_are_known_to_remain(
+    #[case] now: u64,
+    #[case] answered: &[u64],
+    #[case] accepted: &[u64],
+    #[case] expected: RetirementVerdict,
+) {
+    let mut planner = planner(now, answered);
+    let names: Vec<String> = accepted.iter().map(|it| record(*it).name).collect();
+    planner.record_retiring(&names);
+    let status = status(now, membership(&[1, 2, 3, 4], &[]), answered);
+    let verdict = planner.judge_retirement(ClockTime(now), &status, &record(3).name);
+    assert_eq!(verdict, expected);
+}
+
 /// Guards against a step that skips a stage, above all the removal of a leader that still leads.
 #[rstest]
 #[case::a_member_is_not_added(RepairStep::AddLearner(NodeId(2), record(2)), None)]
--- a/crates/service/src/keeper/repair.rs
+++ b/crates/service/src/keeper/repair.rs
@@ -11,6 +11,8 @@
 use bergamotlane_coordination::consensus::MemberRecord;
 use bergamotlane_coordination::ident::NodeId;
 use bergamotlane_coordination::repair::RepairStep;
+use bergamotlane_coordination::repair::RetirementVerdict;
+use bergamotlane_storage::clock::now;
 
 impl<D: TargetDialect> KeeperCore<D> {
     /// Takes the next step that repair needs.
@@ -75,26 +77,30 @@
             self.reply(origin, LeaderReply::Done);
             return;
         }
-        match self.can_retire(&instance) {
-            true => self.propose(&StateCommand::Retire(instance), origin),
-            false => self.reply(origin, LeaderReply::Conflict),
+        let time = now();
+        self.record_keepers(time);
+        let (Some(voter), Some(lead)) = (&self.voter, &mut self.lead) else {
+            self.reply(origin, LeaderReply::NotLeader);
+            return;
+        };
+        let status = voter.node.group_status();
+        let verdict = lead.repair.judge_retirement(time, &status, &instance);
+        spdlog::info!("repair: order to retire", kv: {
+            instance = instance.as_str(),
+            verdict = format!("{verdict:?}"),
+            retiring = self.state.retiring.len(),
+        });
+        match verdict {
+            RetirementVerdict::Accepted => {
+                // Later orders are judged with this one, although it isn't committed yet.
+                lead.repair.record_retiring([&instance]);
+                self.propose(&StateCommand::Retire(instance), origin);
+            }
+            RetirementVerdict::TooFew => self.reply(origin, LeaderReply::Conflict),
+            RetirementVerdict::Unsure => self.reply(origin, LeaderReply::NotLeader),
         }
     }
 
-    /// Returns whether the keepers that remain without an instance suffice for the configured
-    /// number of voters.
-    fn can_retire(&self, instance: &str) -> bool {
-        let mut names: BTreeSet<&str> = self
-            .links
-            .values()
-            .filter(|(hello, _)| hello.node.is_some())
-            .map(|(hello, _)| hello.name.as_str())
-            .collect();
-        names.insert(&self.settings.name);
-        names.retain(|it| *it != instance && !self.state.retiring.contains(*it));
-        names.len() >= self.settings.voters
-    }
-
     /// Replies whether an instance has retired.
     pub(super) fn report_retirement(&self, instance: &str, origin: CallOrigin) {
         let reply = match self.is_known_keeper(instance) {
