Call a retirement completed once the removal is committed

What callers saw: a retirement was said to be completed, the machine was taken away, one disk was lost while the others were without power, and the acknowledged desired state was never read again.

Cause: is_retired asked the latest membership of the log, which the leader alone may have. The others still counted four voters, of which two were gone.

Change: an instance has left the group once neither the latest membership nor the committed one has it (ConsensusNode::has_left, committed_membership). A removal that is committed is durable on a quorum of the next membership, with all entries before it, so that every later leader knows it.

--- a/crates/coordination/src/consensus/node.rs
+++ b/crates/coordination/src/consensus/node.rs
@@ -174,9 +174,17 @@
         self.log.membership().1
     }
 
-    /// Returns whether an instance has no member in the group.
+    /// Returns the latest membership that is known to be committed, which no other leader replaces by
+    /// an earlier one.
+    pub fn committed_membership(&self) -> &GroupMembership {
+        self.log.membership_at(self.commit)
+    }
+
+    /// Returns whether an instance has no member in the group, and would have none under any other
+    /// leader either.
     pub fn has_left(&self, name: &str) -> bool {
-        let mut members = self.membership().members();
+        let memberships = [self.committed_membership(), self.membership()];
+        let mut members = memberships.iter().flat_map(|it| it.members());
         !members.any(|(_, record)| record.name == name)
     }
 
--- a/crates/coordination/src/consensus/tests/retirements.rs
+++ b/crates/coordination/src/consensus/tests/retirements.rs
@@ -41,9 +41,13 @@
     StayingIsCutOff,
     StayingLosesDisk,
     LearnerLosesDisk,
+    /// The leader loses its disk as soon as it has called a retirement completed.
+    LeaderLosesDiskOnceCompleted,
+    /// The same, while the other voters have no power.
+    OthersLosePowerAndLeaderItsDisk,
 }
 
-const RANDOM_FAULTS: [StepFault; 10] = [
+const RANDOM_FAULTS: [StepFault; 12] = [
     StepFault::Nothing,
     StepFault::LeaderCrashes,
     StepFault::LeaderFreezes,
@@ -54,6 +58,8 @@
     StepFault::StayingIsCutOff,
     StepFault::StayingLosesDisk,
     StepFault::LearnerLosesDisk,
+    StepFault::LeaderLosesDiskOnceCompleted,
+    StepFault::OthersLosePowerAndLeaderItsDisk,
 ];
 
 /// Simulated group together with the operator who lets instances retire.
@@ -148,7 +154,7 @@
             if !member.retiring.contains(&name) {
                 self.order_retirement(leader, &name);
             } else if node.has_left(&name) {
-                self.complete(name);
+                self.complete(leader, name);
             }
         }
         self.assert_promises(leader);
@@ -171,13 +177,19 @@
     }
 
     /// Takes an instance away whose retirement is completed. That doesn't count as a loss.
-    fn complete(&mut self, name: String) {
+    fn complete(&mut self, leader: NodeId, name: String) {
         if self.takes_away {
             for id in self.nodes_of(&name) {
                 self.harness.take_away(id);
             }
         }
         self.completed.insert(name);
+        if matches!(
+            self.fault,
+            StepFault::LeaderLosesDiskOnceCompleted | StepFault::OthersLosePowerAndLeaderItsDisk
+        ) {
+            self.lose_disk(leader);
+        }
     }
 
     /// Returns the nodes of an instance that have their disks.
@@ -245,10 +257,10 @@
         let until = self.harness.time + self.harness.random.random_range(200..3_000);
         let staying = one(&mut self.harness, &staying);
         match self.fault {
-            StepFault::Nothing => {}
+            StepFault::Nothing | StepFault::LeaderLosesDiskOnceCompleted => {}
             StepFault::LeaderCrashes => self.harness.stop(leader, until),
             StepFault::LeaderFreezes => self.freeze(leader, until),
-            StepFault::OthersLosePower => {
+            StepFault::OthersLosePower | StepFault::OthersLosePowerAndLeaderItsDisk => {
                 let others = voters.iter().filter(|it| **it != leader);
                 others.for_each(|it| self.harness.stop(*it, until));
             }
@@ -367,7 +379,9 @@
         StepFault::StayingFreezes,
         StepFault::StayingIsCutOff,
         StepFault::StayingLosesDisk,
-        StepFault::LearnerLosesDisk
+        StepFault::LearnerLosesDisk,
+        StepFault::LeaderLosesDiskOnceCompleted,
+        StepFault::OthersLosePowerAndLeaderItsDisk
     )]
     fault: StepFault,
     #[values(0, 5_000)] spares_from: u64,
