Know an instance that has retired also once it is gone

What the operator saw: the order to retire was confirmed, its retirement completed, the machine was taken away; from then on the same order and the question for its state got 404, which ends the operator's call, though an order that was accepted is never refused.

Cause: an instance was known by its link or as a member, and a retired one is neither.

Change: an instance that retires or has retired is known by the replicated state.

Evidence: retired_instances_are_replaced_and_stay_retired, with processes: one voter, two of three, all three, a spare, each also at the next leader.

--- a/crates/service/src/keeper/repair.rs
+++ b/crates/service/src/keeper/repair.rs
@@ -110,7 +110,8 @@
         self.reply(origin, reply);
     }
 
-    /// Returns whether an instance is this keeper, a linked one, or a member of the group.
+    /// Returns whether an instance is this keeper, a linked one, a member of the group or one that
+    /// retires or has retired.
     fn is_known_keeper(&self, instance: &str) -> bool {
         let is_linked = self
             .links
@@ -120,7 +121,8 @@
             .voter
             .as_ref()
             .is_some_and(|it| !it.node.has_left(instance));
-        is_linked || is_member || self.settings.name == instance
+        let is_retiring = self.state.retiring.contains(instance);
+        is_linked || is_member || is_retiring || self.settings.name == instance
     }
 
     /// Returns whether a retiring instance has left the group, whoever leads it from now on. Its disk
