Confirm an evacuation or its end only with an entry of its own

An evacuation that was in force was confirmed at once, although its end had been proposed before and was still to be applied: it was acknowledged and then not in force (EVAC). The other way round, a withdrawal was confirmed before the evacuation that it withdraws had been applied, which then stayed.

Change: ServiceState::has_for_good says which changes can be confirmed without an entry: those that no later entry undoes (plan, named version, retirement). Evacuations and their ends always get an entry, so that the log orders them.

Evidence: only_what_no_later_entry_undoes_is_confirmed_without_an_entry; with the earlier rule put back its cases evacuation_in_force and end_of_no_evacuation fail. The race itself was not played.

--- a/crates/service/src/keeper/calls.rs
+++ b/crates/service/src/keeper/calls.rs
@@ -136,30 +136,15 @@
         page.unwrap_or(LeaderReply::NotLeader)
     }
 
-    /// Proposes a change; one whose outcome is already in force is confirmed without an entry.
+    /// Proposes a change; one that the state has for good is confirmed without an entry.
     fn handle_change(&mut self, command: &StateCommand, origin: CallOrigin) {
-        let done = match command {
-            StateCommand::ReplacePlan { plan, .. } => self
-                .state
-                .plan_version()
-                .is_some_and(|it| it >= plan.version),
-            StateCommand::Submit(submission) => {
-                if let Some(reply) = self.known_submission(submission) {
-                    self.reply(origin, reply);
-                    return;
-                }
-                false
-            }
-            StateCommand::Evacuate(zone) => self.state.evacuated.contains(zone),
-            StateCommand::Restore(zone) => !self.state.evacuated.contains(zone),
-            StateCommand::NameVersion { model, version } => self
-                .state
-                .weights
-                .get(model)
-                .is_some_and(|it| it >= version),
-            _ => false,
-        };
-        if done {
+        if let StateCommand::Submit(submission) = command
+            && let Some(reply) = self.known_submission(submission)
+        {
+            self.reply(origin, reply);
+            return;
+        }
+        if self.state.has_for_good(command) {
             self.reply(origin, LeaderReply::Done);
             return;
         }
--- a/crates/service/src/keeper/repair.rs
+++ b/crates/service/src/keeper/repair.rs
@@ -73,7 +73,8 @@
             self.reply(origin, LeaderReply::Missing);
             return;
         }
-        if self.state.retiring.contains(&instance) {
+        let command = StateCommand::Retire(instance.clone());
+        if self.state.has_for_good(&command) {
             self.reply(origin, LeaderReply::Done);
             return;
         }
@@ -94,7 +95,7 @@
             RetirementVerdict::Accepted => {
                 // Later orders are judged with this one, although it isn't committed yet.
                 lead.repair.record_retiring([&instance]);
-                self.propose(&StateCommand::Retire(instance), origin);
+                self.propose(&command, origin);
             }
             RetirementVerdict::TooFew => self.reply(origin, LeaderReply::Conflict),
             RetirementVerdict::Unsure => self.reply(origin, LeaderReply::NotLeader),
--- a/crates/service/src/state.rs
+++ b/crates/service/src/state.rs
@@ -266,6 +266,23 @@
         }
     }
 
+    /// Returns whether a change is in force and no entry that is still to be applied can undo it, so
+    /// that it can be confirmed without an entry of its own.
+    ///
+    /// An evacuation and its end undo each other, and the other one may have been proposed before.
+    pub fn has_for_good(&self, command: &StateCommand) -> bool {
+        match command {
+            StateCommand::ReplacePlan { plan, .. } => {
+                self.plan_version().is_some_and(|it| it >= plan.version)
+            }
+            StateCommand::NameVersion { model, version } => {
+                self.weights.get(model).is_some_and(|it| it >= version)
+            }
+            StateCommand::Retire(instance) => self.retiring.contains(instance),
+            _ => false,
+        }
+    }
+
     /// Puts a plan in force if its version is higher.
     fn replace_plan(&mut self, mut plan: RoutingPlan, document: Bytes) {
         if self.plan_version().is_some_and(|it| it >= plan.version) {
--- a/crates/service/tests/state/applied.rs
+++ b/crates/service/tests/state/applied.rs
@@ -37,6 +37,42 @@
     assert_eq!(state.plan.unwrap().document, expected);
 }
 
+/// Guards against an evacuation, or its end, that is confirmed because it is in force while the other one,
+/// proposed before it, is still to be applied and undoes it.
+#[rstest]
+#[case::plan_of_this_version(plan(7, "same"), true)]
+#[case::earlier_plan(plan(6, "earlier"), true)]
+#[case::later_plan(plan(8, "later"), false)]
+#[case::named_version(name_version(3), true)]
+#[case::newer_version(name_version(4), false)]
+#[case::retirement(StateCommand::Retire("store-1".to_owned()), true)]
+#[case::other_retirement(StateCommand::Retire("store-2".to_owned()), false)]
+#[case::evacuation_in_force(StateCommand::Evacuate("a".to_owned()), false)]
+#[case::end_of_no_evacuation(StateCommand::Restore("b".to_owned()), false)]
+fn only_what_no_later_entry_undoes_is_confirmed_without_an_entry(
+    #[case] command: StateCommand,
+    #[case] expected: bool,
+) {
+    let mut state = ServiceState::default();
+    let before = [
+        plan(7, "same"),
+        name_version(3),
+        StateCommand::Retire("store-1".to_owned()),
+        StateCommand::Evacuate("a".to_owned()),
+    ];
+    for (index, command) in (1..).zip(before) {
+        state.apply(index, command);
+    }
+    assert_eq!(state.has_for_good(&command), expected);
+}
+
+fn name_version(version: u64) -> StateCommand {
+    StateCommand::NameVersion {
+        model: "m".to_owned(),
+        version,
+    }
+}
+
 #[test]
 fn a_repeated_submission_changes_nothing() {
     let mut state = ServiceState::default();
