Send no request ID twice on one connection to a target

What callers saw: an item was listed as terminated after two answers of 500 where three are allowed. The first 500 came a second time where the next answer on its connection was expected, and the item's next run went over that connection under the same ID.

Cause: an answer is told from a late copy of an earlier one by the ID alone, and the same ID is sent again: by the next run of an item (after 500, 422, 421, 503, a whole text), by a caller's request that is tried again at the same target or sent again by its caller. Orders to engines and reports have no ID; nothing but the connection told their answers apart.

Requests without an ID share one mark. An order's answer that bears a request ID is a late copy, so that the order stays unclear.

--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -15,6 +15,7 @@
 use crate::answer_body::EndedBody;
 use crate::answer_body::read_body;
 use crate::answer_body::read_held_body;
+use crate::carried::RequestMark;
 use crate::choice::ChoiceQuery;
 use crate::choice::TargetChooser;
 use crate::choice::WorkEstimate;
@@ -217,7 +218,8 @@
             true => RepeatRule::AfterSilence,
             false => RepeatRule::Unsent,
         };
-        let sent = self.pool.send(target.announcement.address, message, rule);
+        let (address, mark) = (target.announcement.address, RequestMark::of(&request.id));
+        let sent = self.pool.send(address, message, mark, rule);
         let (response, connection) = match sent.await {
             Ok(answer) => answer,
             Err(SendError::Connect) => {
--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -23,6 +23,7 @@
 use crate::answer_body::BodyCut;
 use crate::answer_body::EndedBody;
 use crate::answer_body::read_body;
+use crate::carried::RequestMark;
 use crate::dialect::OrderHolder;
 use crate::dialect::OutboundCall;
 use crate::dialect::TargetDialect;
@@ -94,7 +95,9 @@
         return Err(DutyFailure::NotSent);
     }
     let exchange = async {
-        let (response, connection) = pool.send(address, request, RepeatRule::Unsent).await?;
+        let mark = RequestMark::WITHOUT_ID;
+        let sent = pool.send(address, request, mark, RepeatRule::Unsent);
+        let (response, connection) = sent.await?;
         let (head, body) = response.into_parts();
         let body = read_body(&head.headers, body, MAX_DUTY_ANSWER_BYTES).await;
         if body.is_ok() {
--- a/crates/service/src/keeper/orders.rs
+++ b/crates/service/src/keeper/orders.rs
@@ -1,8 +1,13 @@
 //! Weight orders: the leader makes engines load the versions that open jobs allow.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
+use http::HeaderMap;
+
 use super::KeeperEvent;
 use super::core::KeeperCore;
 use super::duties::DutyAnswer;
@@ -48,6 +53,19 @@
     }
 }
 
+/// Returns the result of an order or a query, whose own answer bears no request ID: one for which `has_id`
+/// holds is a late copy of the answer to a request.
+fn own_answer(
+    result: Result<DutyAnswer, DutyFailure>,
+    has_id: impl Fn(&HeaderMap) -> bool,
+) -> Result<DutyAnswer, DutyFailure> {
+    let answer = result?;
+    match has_id(&answer.headers) {
+        true => Err(DutyFailure::Unclear),
+        false => Ok(answer),
+    }
+}
+
 impl<D: TargetDialect> KeeperCore<D> {
     /// Sends weight orders at their interval. Must be called after the assignment of items, since
     /// an engine to which runs were just assigned is not idle.
@@ -138,6 +156,10 @@
         let (pool, lease) = (Arc::clone(&self.pool), self.lease.clone());
         let (dialect, events) = (self.dialect.clone(), self.events.clone());
         let start = entry.announcement.leaving_start();
+        let has_id = |dialect: &D, headers: &HeaderMap| {
+            let metadata = dialect.read_metadata(headers);
+            metadata.request_id.is_some()
+        };
         let is_leaving = move |dialect: &D, result: &Result<DutyAnswer, DutyFailure>| {
             let answer = result.as_ref().ok();
             let leaves = answer.is_some_and(|it| dialect.read_metadata(&it.headers).is_leaving);
@@ -147,7 +169,8 @@
             WeightStep::Inspect { .. } => {
                 let call = dialect.order_state(&id);
                 self.runtime.spawn(async move {
-                    let result = send_duty(&pool, &lease, address, call).await;
+                    let sent = send_duty(&pool, &lease, address, call);
+                    let result = own_answer(sent.await, |it| has_id(&dialect, it));
                     if let Some(event) = is_leaving(&dialect, &result) {
                         events.send(event).ok();
                     }
@@ -170,7 +193,8 @@
                 let keep_runs = !self.requires_single_version(&service);
                 let call = dialect.weight_order(&holder, &id, &model, version, expect, keep_runs);
                 self.runtime.spawn(async move {
-                    let result = send_duty(&pool, &lease, address, call).await;
+                    let sent = send_duty(&pool, &lease, address, call);
+                    let result = own_answer(sent.await, |it| has_id(&dialect, it));
                     if let Some(event) = is_leaving(&dialect, &result) {
                         events.send(event).ok();
                     }
--- a/crates/service/src/lib.rs
+++ b/crates/service/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod answer_body;
 pub mod bodies;
 pub mod budget;
+pub mod carried;
 pub mod choice;
 mod closed_texts;
 pub mod cold;
--- a/crates/service/src/pool.rs
+++ b/crates/service/src/pool.rs
@@ -24,6 +24,8 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::carried::CarriedRequests;
+use crate::carried::RequestMark;
 use crate::metrics::METRICS;
 use crate::silence::SlowestAnswer;
 use bergamotlane_coordination::clock::ClockTime;
@@ -100,15 +102,21 @@
     AfterSilence,
 }
 
-struct IdleConnection {
+/// Open connection, with what it has carried.
+struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
+    carried: CarriedRequests,
+}
+
+struct IdleConnection {
+    connection: OpenConnection,
     until: ClockTime,
 }
 
 /// Connection that has received the head of an answer, and whose body is being read.
 pub struct ActiveConnection {
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    connection: OpenConnection,
     until: ClockTime,
     pool: Arc<TargetPool>,
 }
@@ -117,11 +125,12 @@
     /// Returns the connection to the pool. Must be called only after the body of the answer was
     /// read to its end.
     pub fn keep(self) {
-        if self.sender.is_closed() || now() >= self.until {
+        let OpenConnection { sender, carried } = &self.connection;
+        if sender.is_closed() || carried.is_full() || now() >= self.until {
             return;
         }
         let connection = IdleConnection {
-            sender: self.sender,
+            connection: self.connection,
             until: self.until,
         };
         self.pool.add_idle(self.address, connection);
@@ -140,7 +149,7 @@
 
 /// End of a request that was sent on a kept connection.
 enum KeptEnd {
-    Answered(Response<Incoming>, SendRequest<Full<Bytes>>),
+    Answered(Response<Incoming>, OpenConnection),
     /// The connection broke before the request was sent.
     Unsent,
     /// The connection broke after the request may have been sent.
@@ -197,28 +206,38 @@
         for target in targets.values_mut() {
             target
                 .idle
-                .retain(|it| time < it.until && !it.sender.is_closed());
+                .retain(|it| time < it.until && !it.connection.sender.is_closed());
         }
         targets.retain(|_, target| {
             !target.idle.is_empty() || time.since(target.answered_at) < ANSWER_MEMORY_MS
         });
     }
 
-    /// Takes a usable idle connection from the pool, if there is one.
-    async fn reuse(&self, address: SocketAddr) -> Option<SendRequest<Full<Bytes>>> {
+    /// Takes a usable idle connection from the pool that may carry a request, if there is one.
+    async fn reuse(&self, address: SocketAddr, mark: RequestMark) -> Option<OpenConnection> {
         loop {
-            let mut connection = self.targets().get_mut(&address)?.idle.pop()?;
-            if now() >= connection.until || connection.sender.is_closed() {
+            let idle = self.take_idle(address, mark)?;
+            let mut connection = idle.connection;
+            if now() >= idle.until || connection.sender.is_closed() {
                 continue;
             }
             let ready = timeout(READY_LIMIT, connection.sender.ready()).await;
             if matches!(ready, Ok(Ok(()))) {
-                return Some(connection.sender);
+                return Some(connection);
             }
         }
     }
 
-    async fn connect(&self, address: SocketAddr) -> Result<SendRequest<Full<Bytes>>, SendError> {
+    /// Takes the idle connection that was used last from those that may carry a request.
+    fn take_idle(&self, address: SocketAddr, mark: RequestMark) -> Option<IdleConnection> {
+        let mut targets = self.targets();
+        let idle = &mut targets.get_mut(&address)?.idle;
+        let may_carry = |it: &IdleConnection| it.connection.carried.may_carry(mark);
+        let position = idle.iter().rposition(may_carry)?;
+        Some(idle.remove(position))
+    }
+
+    async fn connect(&self, address: SocketAddr) -> Result<OpenConnection, SendError> {
         let stream = timeout(CONNECT_LIMIT, TcpStream::connect(address)).await;
         let Ok(Ok(stream)) = stream else {
             return Err(SendError::Connect);
@@ -232,7 +251,10 @@
         // An error of the connection also reaches its sender, which reports it.
         tokio::spawn(async move { connection.await.ok() });
         self.targets().entry(address).or_default().connected_at = now();
-        Ok(sender)
+        Ok(OpenConnection {
+            sender,
+            carried: CarriedRequests::default(),
+        })
     }
 
     /// Returns whether a connection to an address has been opened since a time.
@@ -252,8 +274,8 @@
         socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
     }
 
-    /// Sends a request and returns the head of its answer. An idle connection is used if there is
-    /// one, else a new one.
+    /// Sends a request and returns the head of its answer. An idle connection is used if there is one that
+    /// has carried no request of the same `mark`, else a new one.
     ///
     /// If an idle connection fails, the request is sent again on a new one as far as `rule` allows.
     /// Dropping the unread answer, or this future, closes the connection.
@@ -267,15 +289,17 @@
         self: &Arc<Self>,
         address: SocketAddr,
         request: Request<Full<Bytes>>,
+        mark: RequestMark,
         rule: RepeatRule,
     ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
         let started = now();
         let mut may_have_arrived = false;
-        if let Some(sender) = self.reuse(address).await {
-            match self.send_kept(address, sender, &request, rule).await {
-                KeptEnd::Answered(response, sender) => {
+        if let Some(connection) = self.reuse(address, mark).await {
+            let sent = self.send_kept(address, connection, &request, mark, rule);
+            match sent.await {
+                KeptEnd::Answered(response, connection) => {
                     self.record_answer(started);
-                    return self.activate(address, sender, response);
+                    return self.activate(address, connection, response);
                 }
                 KeptEnd::Unsent => {}
                 KeptEnd::Broken(_) if rule != RepeatRule::Unsent => may_have_arrived = true,
@@ -284,13 +308,14 @@
                 }
             }
         }
-        let mut sender = match self.connect(address).await {
+        let mut connection = match self.connect(address).await {
             Err(SendError::Connect) if may_have_arrived => return Err(SendError::Gone),
             connected => connected?,
         };
-        let response = sender.send_request(request).await?;
+        connection.carried.record(mark);
+        let response = connection.sender.send_request(request).await?;
         self.record_answer(started);
-        self.activate(address, sender, response)
+        self.activate(address, connection, response)
     }
 
     /// Sends a request on a kept connection. If the target stays silent on all connections, those that
@@ -299,12 +324,14 @@
     async fn send_kept(
         &self,
         address: SocketAddr,
-        mut sender: SendRequest<Full<Bytes>>,
+        mut connection: OpenConnection,
         request: &Request<Full<Bytes>>,
+        mark: RequestMark,
         rule: RepeatRule,
     ) -> KeptEnd {
         let started = now();
-        let mut sent = std::pin::pin!(sender.try_send_request(request.clone()));
+        connection.carried.record(mark);
+        let mut sent = std::pin::pin!(connection.sender.try_send_request(request.clone()));
         let limit = self.slowest().silence_limit(started);
         let result = match timeout(limit, sent.as_mut()).await {
             Ok(result) => result,
@@ -313,7 +340,9 @@
                 self.drop_silent(address);
                 let repeated = async {
                     match rule {
-                        RepeatRule::AfterSilence => self.send_again(address, request.clone()).await,
+                        RepeatRule::AfterSilence => {
+                            self.send_again(address, request.clone(), mark).await
+                        }
                         RepeatRule::Unsent | RepeatRule::AfterBreak => std::future::pending().await,
                     }
                 };
@@ -324,7 +353,7 @@
             }
         };
         match result {
-            Ok(response) => KeptEnd::Answered(response, sender),
+            Ok(response) => KeptEnd::Answered(response, connection),
             Err(mut error) => match error.take_message() {
                 Some(_) => KeptEnd::Unsent,
                 None => KeptEnd::Broken(error.into_error()),
@@ -334,21 +363,27 @@
 
     /// Sends a request on a new connection, unless it is answered within [`REPEAT_PAUSE`]; the
     /// connection is kept then. Waits for ever if there is none.
-    async fn send_again(&self, address: SocketAddr, request: Request<Full<Bytes>>) -> KeptEnd {
+    async fn send_again(
+        &self,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        mark: RequestMark,
+    ) -> KeptEnd {
         if !self.warm_up(address).await {
             return std::future::pending().await;
         }
         sleep(REPEAT_PAUSE).await;
-        let kept = self.reuse(address).await;
-        let sender = match kept {
-            Some(sender) => Ok(sender),
+        let kept = self.reuse(address, mark).await;
+        let connection = match kept {
+            Some(connection) => Ok(connection),
             None => self.connect(address).await,
         };
-        let Ok(mut sender) = sender else {
+        let Ok(mut connection) = connection else {
             return std::future::pending().await;
         };
-        match sender.send_request(request).await {
-            Ok(response) => KeptEnd::Answered(response, sender),
+        connection.carried.record(mark);
+        match connection.sender.send_request(request).await {
+            Ok(response) => KeptEnd::Answered(response, connection),
             Err(error) => KeptEnd::Failed(error),
         }
     }
@@ -384,11 +419,11 @@
     /// Opens a connection to an address and keeps it for a later request. Returns whether that
     /// succeeded.
     pub async fn warm_up(&self, address: SocketAddr) -> bool {
-        let Ok(sender) = self.connect(address).await else {
+        let Ok(connection) = self.connect(address).await else {
             return false;
         };
         let until = now() + WARM_UP_MS;
-        self.add_idle(address, IdleConnection { sender, until });
+        self.add_idle(address, IdleConnection { connection, until });
         true
     }
 
@@ -408,7 +443,7 @@
     fn activate(
         self: &Arc<Self>,
         address: SocketAddr,
-        sender: SendRequest<Full<Bytes>>,
+        connection: OpenConnection,
         response: Response<Incoming>,
     ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
         if let Err(fault) = FinalStatus::try_from(response.status().as_u16()) {
@@ -423,7 +458,7 @@
         let idle_ms = idle_limit_ms(response.headers()).unwrap_or(DEFAULT_IDLE_MS);
         let connection = ActiveConnection {
             address,
-            sender,
+            connection,
             until: now() + idle_ms.saturating_sub(IDLE_MARGIN_MS),
             pool: Arc::clone(self),
         };
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -22,6 +22,7 @@
 
 use crate::answer_body::expected_end;
 use crate::answer_body::read_body;
+use crate::carried::RequestMark;
 use crate::dialect::AnswerMetadata;
 use crate::dialect::RequestMetadata;
 use crate::dialect::TargetDialect;
@@ -181,7 +182,8 @@
         return StreamEnd::Other(RunEnd::Rejected);
     };
     let limits = request.limits;
-    let sent = pool.send(request.address, message, RepeatRule::AfterBreak);
+    let mark = RequestMark::of(&request.item);
+    let sent = pool.send(request.address, message, mark, RepeatRule::AfterBreak);
     let (response, connection) = match timeout(limits.silence, sent).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendError::Connect)) => return StreamEnd::Other(RunEnd::Unreachable),
--- a/crates/service/tests/targets/framing.rs
+++ b/crates/service/tests/targets/framing.rs
@@ -9,6 +9,7 @@
 use crate::cut::expected_end;
 use crate::cut::is_cut;
 use bergamotlane_service::answer_body::read_body;
+use bergamotlane_service::carried::RequestMark;
 use bergamotlane_service::pool::RepeatRule;
 use bergamotlane_service::pool::TargetPool;
 use bergamotlane_wire::body_end::BodyEnd;
@@ -20,7 +21,12 @@
         let address = cut::start(vec![answer.clone()]).await;
         let request = Request::get("/").body(Full::new(Bytes::new())).unwrap();
         let (response, _connection) = TargetPool::new()
-            .send(address, request, RepeatRule::Unsent)
+            .send(
+                address,
+                request,
+                RequestMark::WITHOUT_ID,
+                RepeatRule::Unsent,
+            )
             .await
             .unwrap();
         let (head, body) = response.into_parts();
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -3,6 +3,7 @@
 mod answer_ends;
 #[path = "../common/mod.rs"]
 mod common;
+mod copies;
 mod cut;
 #[path = "../common/earlier_state.rs"]
 mod earlier_state;
--- a/crates/service/tests/targets/status_lines.rs
+++ b/crates/service/tests/targets/status_lines.rs
@@ -20,6 +20,7 @@
 use crate::support::read_request;
 use crate::support::view;
 use bergamotlane_service::answer_body::read_body;
+use bergamotlane_service::carried::RequestMark;
 use bergamotlane_service::plain::PlainOutcome;
 use bergamotlane_service::plan::RouteKind;
 use bergamotlane_service::pool::RepeatRule;
@@ -222,9 +223,16 @@
 ) {
     let target = StatusTarget::start(line).await;
     let pool = TargetPool::new();
-    for _ in 0..2 {
+    for id in ["first", "second"] {
         let request = Request::post("/").body(Full::new(Bytes::new())).unwrap();
-        let sent = pool.send(target.address, request, RepeatRule::Unsent).await;
+        let sent = pool
+            .send(
+                target.address,
+                request,
+                RequestMark::of(id),
+                RepeatRule::Unsent,
+            )
+            .await;
         if let Ok((response, connection)) = sent {
             let (head, body) = response.into_parts();
             read_body(&head.headers, body, 100).await.unwrap();
