Take a refusal of one copy of a request for no more than that

What callers saw: a request with max-attempts 1 ran at two targets. It was sent again to the same target after silence, the second copy was refused there, and the first one, which ran, was dropped; the attempt was given back and the request went to the next target.

Cause: "not run" was concluded from the answer to one copy while another copy might run: after silence, and after a kept connection had broken, for items as well, which then started elsewhere as ones that were refused.

Change: the pool tells with each answer what is known of other copies (OtherCopies). If one copy is refused, the request ends with the other one, if that is answered; if that one breaks or stays silent, the refusal doesn't count as "not run": a try has failed, a run is broken. If all copies were refused, the request did not run.

--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -5,8 +5,10 @@
 
 use futures_util::FutureExt;
 use http::Request;
+use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use spdlog::Level;
 use tokio::time::timeout;
 
@@ -19,6 +21,7 @@
 use crate::choice::ChoiceQuery;
 use crate::choice::TargetChooser;
 use crate::choice::WorkEstimate;
+use crate::dialect::AnswerMetadata;
 use crate::dialect::RequestMetadata;
 use crate::dialect::TargetDialect;
 use crate::events::ends_with_event;
@@ -29,8 +32,11 @@
 use crate::plain::PlainOutcome;
 use crate::plain::PlainRequest;
 use crate::plan::RouteKind;
+use crate::pool::OtherCopies;
 use crate::pool::RepeatRule;
 use crate::pool::SendError;
+use crate::pool::TargetAnswer;
+use crate::pool::TargetRequest;
 use crate::registry::TargetAnnouncement;
 use crate::registry::TargetEntry;
 use crate::silence::SILENCE_LIMIT;
@@ -49,10 +55,15 @@
 /// Time limit for telling the leader that a target leaves, in milliseconds.
 const REPORT_LIMIT_MS: u64 = 30_000;
 
+/// Returns whether an answer says that the copy of the request that it answers did not run.
+fn is_not_run(metadata: &AnswerMetadata, status: StatusCode) -> bool {
+    metadata.not_run || status == StatusCode::MISDIRECTED_REQUEST
+}
+
 /// Outcome of one try at a target.
 pub(super) enum TryOutcome {
     Answered(PlainAnswer),
-    /// The target refused the request without running it.
+    /// The target refused the request, of which no copy ran.
     NotRun,
     /// No connection could be made.
     Unsent,
@@ -218,9 +229,19 @@
             true => RepeatRule::AfterSilence,
             false => RepeatRule::Unsent,
         };
-        let (address, mark) = (target.announcement.address, RequestMark::of(&request.id));
-        let sent = self.pool.send(address, message, mark, rule);
-        let (response, connection) = match sent.await {
+        let message = TargetRequest {
+            message,
+            mark: RequestMark::of(&request.id),
+            rule,
+        };
+        let is_refusal = |response: &Response<Incoming>| {
+            let metadata = self.dialect.read_metadata(response.headers());
+            is_not_run(&metadata, response.status())
+        };
+        let sent = self
+            .pool
+            .send(target.announcement.address, message, is_refusal);
+        let answer = match sent.await {
             Ok(answer) => answer,
             Err(SendError::Connect) => {
                 self.record_unreachable(&target.announcement);
@@ -231,6 +252,11 @@
             }
         };
         self.reach.record_success();
+        let TargetAnswer {
+            response,
+            connection,
+            copies,
+        } = answer;
         let (head, body) = response.into_parts();
         let metadata = self.dialect.read_metadata(&head.headers);
         // An answer without the request's ID may be a late copy of an earlier one.
@@ -258,8 +284,11 @@
             return TryOutcome::Broken;
         };
         connection.keep();
-        if metadata.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
-            return TryOutcome::NotRun;
+        if is_not_run(&metadata, head.status) {
+            return match copies {
+                OtherCopies::NotRun => TryOutcome::NotRun,
+                OtherCopies::MayRun => TryOutcome::Failed,
+            };
         }
         if self.is_cut(request, target, head.status, &body).await {
             return TryOutcome::Broken;
--- a/crates/service/src/keeper/duties.rs
+++ b/crates/service/src/keeper/duties.rs
@@ -32,6 +32,7 @@
 use crate::pool::RepeatRule;
 use crate::pool::SendError;
 use crate::pool::TargetPool;
+use crate::pool::TargetRequest;
 use crate::state::StateCommand;
 use crate::turns::DutySubject;
 use crate::usage::CalendarWindow;
@@ -95,13 +96,16 @@
         return Err(DutyFailure::NotSent);
     }
     let exchange = async {
-        let mark = RequestMark::WITHOUT_ID;
-        let sent = pool.send(address, request, mark, RepeatRule::Unsent);
-        let (response, connection) = sent.await?;
-        let (head, body) = response.into_parts();
+        let request = TargetRequest {
+            message: request,
+            mark: RequestMark::WITHOUT_ID,
+            rule: RepeatRule::Unsent,
+        };
+        let answer = pool.send(address, request, |_| false).await?;
+        let (head, body) = answer.response.into_parts();
         let body = read_body(&head.headers, body, MAX_DUTY_ANSWER_BYTES).await;
         if body.is_ok() {
-            connection.keep();
+            answer.connection.keep();
         }
         let body = match body {
             // What is read of a body is a JSON object, which shows itself where it ends.
--- a/crates/service/src/pool.rs
+++ b/crates/service/src/pool.rs
@@ -8,6 +8,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -16,6 +18,7 @@
 use http::Response;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::client::conn::TrySendError;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -102,6 +105,36 @@
     AfterSilence,
 }
 
+/// Request to a target.
+#[derive(Debug)]
+pub struct TargetRequest {
+    /// Request to send.
+    pub message: Request<Full<Bytes>>,
+    /// What tells it from others on a connection.
+    pub mark: RequestMark,
+    /// When it may be sent again.
+    pub rule: RepeatRule,
+}
+
+/// What is known of the other copies of a request that one copy was answered for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OtherCopies {
+    /// None was sent, or the target refused each: what the answer says of its copy holds for the request.
+    NotRun,
+    /// One may run or have run, so that a refusal of this copy says nothing of the request.
+    MayRun,
+}
+
+/// Head of a target's answer, with its connection.
+pub struct TargetAnswer {
+    /// The answer, whose body is still to be read.
+    pub response: Response<Incoming>,
+    /// Connection that it came on.
+    pub connection: ActiveConnection,
+    /// What is known of other copies of the request.
+    pub copies: OtherCopies,
+}
+
 /// Open connection, with what it has carried.
 struct OpenConnection {
     sender: SendRequest<Full<Bytes>>,
@@ -147,9 +180,16 @@
     connected_at: ClockTime,
 }
 
+/// Answer to one copy of a request.
+struct CopyAnswer {
+    response: Response<Incoming>,
+    connection: OpenConnection,
+    copies: OtherCopies,
+}
+
 /// End of a request that was sent on a kept connection.
 enum KeptEnd {
-    Answered(Response<Incoming>, OpenConnection),
+    Answered(Box<CopyAnswer>),
     /// The connection broke before the request was sent.
     Unsent,
     /// The connection broke after the request may have been sent.
@@ -275,10 +315,12 @@
     }
 
     /// Sends a request and returns the head of its answer. An idle connection is used if there is one that
-    /// has carried no request of the same `mark`, else a new one.
+    /// has carried no request of the same mark, else a new one.
     ///
-    /// If an idle connection fails, the request is sent again on a new one as far as `rule` allows.
-    /// Dropping the unread answer, or this future, closes the connection.
+    /// If an idle connection fails, the request is sent again on a new one as far as its rule allows. If it
+    /// is silent, a second copy is sent there; an answer to that copy for which `is_refusal` holds does not
+    /// end the request while the first copy may be answered. Dropping the unread answer, or this future,
+    /// closes the connection.
     ///
     /// # Errors
     ///
@@ -288,92 +330,124 @@
     pub async fn send(
         self: &Arc<Self>,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
-        mark: RequestMark,
-        rule: RepeatRule,
-    ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
+        request: TargetRequest,
+        is_refusal: impl Fn(&Response<Incoming>) -> bool,
+    ) -> Result<TargetAnswer, SendError> {
         let started = now();
-        let mut may_have_arrived = false;
-        if let Some(connection) = self.reuse(address, mark).await {
-            let sent = self.send_kept(address, connection, &request, mark, rule);
+        let mut copies = OtherCopies::NotRun;
+        if let Some(connection) = self.reuse(address, request.mark).await {
+            let sent = self.send_kept(address, connection, &request, is_refusal);
             match sent.await {
-                KeptEnd::Answered(response, connection) => {
+                KeptEnd::Answered(answer) => {
                     self.record_answer(started);
-                    return self.activate(address, connection, response);
+                    return self.activate(address, *answer);
                 }
                 KeptEnd::Unsent => {}
-                KeptEnd::Broken(_) if rule != RepeatRule::Unsent => may_have_arrived = true,
+                KeptEnd::Broken(_) if request.rule != RepeatRule::Unsent => {
+                    copies = OtherCopies::MayRun;
+                }
                 KeptEnd::Broken(error) | KeptEnd::Failed(error) => {
                     return Err(SendError::Broken(error));
                 }
             }
         }
         let mut connection = match self.connect(address).await {
-            Err(SendError::Connect) if may_have_arrived => return Err(SendError::Gone),
+            Err(SendError::Connect) if copies == OtherCopies::MayRun => {
+                return Err(SendError::Gone);
+            }
             connected => connected?,
         };
-        connection.carried.record(mark);
-        let response = connection.sender.send_request(request).await?;
+        connection.carried.record(request.mark);
+        let response = connection.sender.send_request(request.message).await?;
         self.record_answer(started);
-        self.activate(address, connection, response)
+        let answer = CopyAnswer {
+            response,
+            connection,
+            copies,
+        };
+        self.activate(address, answer)
     }
 
     /// Sends a request on a kept connection. If the target stays silent on all connections, those that
-    /// are idle are dropped, and the request is sent again on a new one as far as `rule` allows; the
-    /// first answer counts.
+    /// are idle are dropped, and the request is sent again on a new one as far as its rule allows.
     async fn send_kept(
         &self,
         address: SocketAddr,
         mut connection: OpenConnection,
-        request: &Request<Full<Bytes>>,
-        mark: RequestMark,
-        rule: RepeatRule,
+        request: &TargetRequest,
+        is_refusal: impl Fn(&Response<Incoming>) -> bool,
     ) -> KeptEnd {
         let started = now();
-        connection.carried.record(mark);
-        let mut sent = std::pin::pin!(connection.sender.try_send_request(request.clone()));
+        connection.carried.record(request.mark);
+        let message = request.message.clone();
+        let mut sent = std::pin::pin!(connection.sender.try_send_request(message));
         let limit = self.slowest().silence_limit(started);
         let result = match timeout(limit, sent.as_mut()).await {
             Ok(result) => result,
             Err(_) if self.has_answered_since(address, started) => sent.await,
             Err(_) => {
                 self.drop_silent(address);
-                let repeated = async {
-                    match rule {
-                        RepeatRule::AfterSilence => {
-                            self.send_again(address, request.clone(), mark).await
-                        }
-                        RepeatRule::Unsent | RepeatRule::AfterBreak => std::future::pending().await,
+                match request.rule {
+                    RepeatRule::AfterSilence => {
+                        let first = async { end_of_first(sent.await, connection) };
+                        return self.send_both(address, first, request, is_refusal).await;
                     }
-                };
-                tokio::select! {
-                    result = sent => result,
-                    end = repeated => return end,
+                    RepeatRule::Unsent | RepeatRule::AfterBreak => sent.await,
                 }
             }
         };
-        match result {
-            Ok(response) => KeptEnd::Answered(response, connection),
-            Err(mut error) => match error.take_message() {
-                Some(_) => KeptEnd::Unsent,
-                None => KeptEnd::Broken(error.into_error()),
+        end_of_first(result, connection)
+    }
+
+    /// Waits for the end of the first copy of a request, and sends a second one meanwhile. The first
+    /// answer counts, unless it is a refusal, which says nothing of the other copy: the request ends with
+    /// that one then.
+    async fn send_both(
+        &self,
+        address: SocketAddr,
+        first: impl Future<Output = KeptEnd>,
+        request: &TargetRequest,
+        is_refusal: impl Fn(&Response<Incoming>) -> bool,
+    ) -> KeptEnd {
+        let is_sent_again = AtomicBool::new(false);
+        let mut first = std::pin::pin!(first);
+        let mut second = std::pin::pin!(self.send_again(address, request, &is_sent_again));
+        tokio::select! {
+            end = first.as_mut() => match end {
+                end if !is_sent_again.load(Ordering::Relaxed) => end,
+                KeptEnd::Answered(answer) if is_refusal(&answer.response) => {
+                    end_after_refusal(answer, second.await)
+                }
+                KeptEnd::Answered(answer) => may_run(answer),
+                KeptEnd::Unsent => second.await,
+                KeptEnd::Broken(_) | KeptEnd::Failed(_) => match second.await {
+                    KeptEnd::Answered(answer) => may_run(answer),
+                    end => end,
+                },
+            },
+            end = second.as_mut() => match end {
+                KeptEnd::Answered(answer) if is_refusal(&answer.response) => {
+                    end_after_refusal(answer, first.await)
+                }
+                KeptEnd::Answered(answer) => may_run(answer),
+                end => end,
             },
         }
     }
 
     /// Sends a request on a new connection, unless it is answered within [`REPEAT_PAUSE`]; the
-    /// connection is kept then. Waits for ever if there is none.
+    /// connection is kept then. Waits for ever if there is none. Sets `is_sent` before it sends.
     async fn send_again(
         &self,
         address: SocketAddr,
-        request: Request<Full<Bytes>>,
-        mark: RequestMark,
+        request: &TargetRequest,
+        is_sent: &AtomicBool,
     ) -> KeptEnd {
         if !self.warm_up(address).await {
             return std::future::pending().await;
         }
         sleep(REPEAT_PAUSE).await;
-        let kept = self.reuse(address, mark).await;
+        let kept = self.reuse(address, request.mark).await;
         let connection = match kept {
             Some(connection) => Ok(connection),
             None => self.connect(address).await,
@@ -381,9 +455,15 @@
         let Ok(mut connection) = connection else {
             return std::future::pending().await;
         };
-        connection.carried.record(mark);
-        match connection.sender.send_request(request).await {
-            Ok(response) => KeptEnd::Answered(response, connection),
+        is_sent.store(true, Ordering::Relaxed);
+        connection.carried.record(request.mark);
+        let sent = connection.sender.send_request(request.message.clone());
+        match sent.await {
+            Ok(response) => KeptEnd::Answered(Box::new(CopyAnswer {
+                response,
+                connection,
+                copies: OtherCopies::NotRun,
+            })),
             Err(error) => KeptEnd::Failed(error),
         }
     }
@@ -443,9 +523,13 @@
     fn activate(
         self: &Arc<Self>,
         address: SocketAddr,
-        connection: OpenConnection,
-        response: Response<Incoming>,
-    ) -> Result<(Response<Incoming>, ActiveConnection), SendError> {
+        answer: CopyAnswer,
+    ) -> Result<TargetAnswer, SendError> {
+        let CopyAnswer {
+            response,
+            connection,
+            copies,
+        } = answer;
         if let Err(fault) = FinalStatus::try_from(response.status().as_u16()) {
             spdlog::warn!("target: no answer in the protocol", kv: {
                 address = address.to_string(),
@@ -462,7 +546,44 @@
             until: now() + idle_ms.saturating_sub(IDLE_MARGIN_MS),
             pool: Arc::clone(self),
         };
-        Ok((response, connection))
+        Ok(TargetAnswer {
+            response,
+            connection,
+            copies,
+        })
+    }
+}
+
+/// Returns the end of a request by an answer to one copy, while another one may run or have run.
+fn may_run(mut answer: Box<CopyAnswer>) -> KeptEnd {
+    answer.copies = OtherCopies::MayRun;
+    KeptEnd::Answered(answer)
+}
+
+/// Returns the end of a request of which one copy was refused, and the other one ended so.
+fn end_after_refusal(refusal: Box<CopyAnswer>, other: KeptEnd) -> KeptEnd {
+    match other {
+        KeptEnd::Answered(answer) => KeptEnd::Answered(answer),
+        KeptEnd::Unsent => KeptEnd::Answered(refusal),
+        KeptEnd::Broken(_) | KeptEnd::Failed(_) => may_run(refusal),
+    }
+}
+
+/// Returns the end of the copy of a request that was sent on a kept connection.
+fn end_of_first(
+    result: Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>>,
+    connection: OpenConnection,
+) -> KeptEnd {
+    match result {
+        Ok(response) => KeptEnd::Answered(Box::new(CopyAnswer {
+            response,
+            connection,
+            copies: OtherCopies::NotRun,
+        })),
+        Err(mut error) => match error.take_message() {
+            Some(_) => KeptEnd::Unsent,
+            None => KeptEnd::Broken(error.into_error()),
+        },
     }
 }
 
--- a/crates/service/src/run.rs
+++ b/crates/service/src/run.rs
@@ -28,9 +28,12 @@
 use crate::dialect::TargetDialect;
 use crate::events::EventReader;
 use crate::events::StreamEvent;
+use crate::pool::OtherCopies;
 use crate::pool::RepeatRule;
 use crate::pool::SendError;
+use crate::pool::TargetAnswer;
 use crate::pool::TargetPool;
+use crate::pool::TargetRequest;
 use crate::work::PartialText;
 use crate::work::RunEnd;
 use crate::work::RunMark;
@@ -182,15 +185,25 @@
         return StreamEnd::Other(RunEnd::Rejected);
     };
     let limits = request.limits;
-    let mark = RequestMark::of(&request.item);
-    let sent = pool.send(request.address, message, mark, RepeatRule::AfterBreak);
-    let (response, connection) = match timeout(limits.silence, sent).await {
+    let message = TargetRequest {
+        message,
+        mark: RequestMark::of(&request.item),
+        rule: RepeatRule::AfterBreak,
+    };
+    // No second copy is sent while the first one may be answered.
+    let sent = pool.send(request.address, message, |_| false);
+    let answer = match timeout(limits.silence, sent).await {
         Ok(Ok(answer)) => answer,
         Ok(Err(SendError::Connect)) => return StreamEnd::Other(RunEnd::Unreachable),
         Ok(Err(SendError::Gone | SendError::Broken(_) | SendError::NoAnswer(_))) | Err(_) => {
             return StreamEnd::Broken;
         }
     };
+    let TargetAnswer {
+        response,
+        connection,
+        copies,
+    } = answer;
     let metadata = dialect.read_metadata(response.headers());
     // An answer without the item's ID may be a late copy of an earlier one.
     if metadata.request_id.as_ref() != Some(&request.item) {
@@ -205,7 +218,10 @@
         if matches!(timeout(limits.silence, body).await, Ok(Ok(_))) {
             connection.keep();
         }
-        return end;
+        return match copies {
+            OtherCopies::NotRun => end,
+            OtherCopies::MayRun => end_beside_another(end),
+        };
     }
     let version = metadata.version.unwrap_or(request.version);
     if metadata.stamp.is_none() || version < request.min_version {
@@ -237,6 +253,15 @@
     })
 }
 
+/// Returns how a run ends that was sent twice, of which one copy ended so. What only says that this copy
+/// did not run leaves open whether the other one did.
+fn end_beside_another(end: StreamEnd) -> StreamEnd {
+    match end {
+        StreamEnd::Other(RunEnd::Refused | RunEnd::Misdirected) => StreamEnd::Broken,
+        end => end,
+    }
+}
+
 /// Builds the HTTP request of a run; returns `None` if the item's headers or path are invalid.
 fn build_request<D: TargetDialect>(
     dialect: &D,
--- a/crates/service/tests/targets/copies.rs
+++ b/crates/service/tests/targets/copies.rs
@@ -18,15 +18,20 @@
 
 use crate::forward::forwarder;
 use crate::forward::request;
+use crate::scripted::OWN_ANSWER;
+use crate::scripted::ScriptedAnswer;
+use crate::scripted::refusal;
+use crate::scripted::status;
+use crate::scripted::whole;
 use crate::support::TestDialect;
 use crate::support::header_value;
 use crate::support::read_request;
+use crate::support::unrepeated;
 use crate::support::view;
 use bergamotlane_service::answer_body::read_body;
 use bergamotlane_service::carried::RequestMark;
 use bergamotlane_service::plain::PlainOutcome;
 use bergamotlane_service::plan::RouteKind;
-use bergamotlane_service::pool::RepeatRule;
 use bergamotlane_service::pool::TargetPool;
 use bergamotlane_service::run::RunProgress;
 use bergamotlane_service::run::RunRequest;
@@ -45,56 +50,6 @@
 /// Time that a target takes for a request.
 const WORK_TIME: Duration = Duration::from_millis(5);
 
-/// Answer of a target.
-#[derive(Debug, Clone, Copy)]
-struct ScriptedAnswer {
-    status: u16,
-    /// Whether it says that the request did not run.
-    not_run: bool,
-    body: &'static str,
-}
-
-const OWN_ANSWER: ScriptedAnswer = ScriptedAnswer {
-    status: 200,
-    not_run: false,
-    body: "id: 0\ndata: own\n\n",
-};
-
-const fn status(status: u16) -> ScriptedAnswer {
-    ScriptedAnswer {
-        status,
-        not_run: false,
-        body: "no",
-    }
-}
-
-const fn refusal(status: u16) -> ScriptedAnswer {
-    ScriptedAnswer {
-        status,
-        not_run: true,
-        body: "no",
-    }
-}
-
-const fn whole(body: &'static str) -> ScriptedAnswer {
-    ScriptedAnswer { body, ..OWN_ANSWER }
-}
-
-impl ScriptedAnswer {
-    /// Returns the bytes of the answer to a request with this ID, if it has one.
-    fn bytes(self, id: Option<&str>) -> String {
-        let id = id.map_or_else(String::new, |it| format!("x-id: {it}\r\n"));
-        let not_run = if self.not_run { "x-not-run: 1\r\n" } else { "" };
-        format!(
-            "HTTP/1.1 {} Status\r\n{id}{not_run}x-stamp: s\r\nx-version: 1\r\n\
-             content-length: {}\r\n\r\n{}",
-            self.status,
-            self.body.len(),
-            self.body
-        )
-    }
-}
-
 /// Target that may send each answer a second time where the next one on its connection is expected.
 struct CopyingTarget {
     address: SocketAddr,
@@ -264,11 +219,11 @@
 /// Sends a request through a pool, and returns the status of its answer.
 async fn send(pool: &Arc<TargetPool>, address: SocketAddr, mark: RequestMark) -> u16 {
     let message = Request::post("/").body(Full::new(Bytes::new())).unwrap();
-    let sent = pool.send(address, message, mark, RepeatRule::Unsent).await;
-    let (response, connection) = sent.unwrap();
-    let (head, body) = response.into_parts();
+    let request = unrepeated(message, mark);
+    let answer = pool.send(address, request, |_| false).await.ok().unwrap();
+    let (head, body) = answer.response.into_parts();
     read_body(&head.headers, body, 100).await.unwrap();
-    connection.keep();
+    answer.connection.keep();
     head.status.as_u16()
 }
 
--- a/crates/service/tests/targets/framing.rs
+++ b/crates/service/tests/targets/framing.rs
@@ -8,9 +8,10 @@
 use crate::cut::all_cuts;
 use crate::cut::expected_end;
 use crate::cut::is_cut;
+use crate::support::unrepeated;
 use bergamotlane_service::answer_body::read_body;
 use bergamotlane_service::carried::RequestMark;
-use bergamotlane_service::pool::RepeatRule;
+use bergamotlane_service::pool::TargetAnswer;
 use bergamotlane_service::pool::TargetPool;
 use bergamotlane_wire::body_end::BodyEnd;
 
@@ -20,15 +21,13 @@
     for answer in all_cuts("body") {
         let address = cut::start(vec![answer.clone()]).await;
         let request = Request::get("/").body(Full::new(Bytes::new())).unwrap();
-        let (response, _connection) = TargetPool::new()
-            .send(
-                address,
-                request,
-                RequestMark::WITHOUT_ID,
-                RepeatRule::Unsent,
-            )
-            .await
-            .unwrap();
+        let request = unrepeated(request, RequestMark::WITHOUT_ID);
+        let sent = TargetPool::new().send(address, request, |_| false).await;
+        let TargetAnswer {
+            response,
+            connection: _connection,
+            ..
+        } = sent.ok().unwrap();
         let (head, body) = response.into_parts();
         let body = read_body(&head.headers, body, 100).await;
         let end = expected_end(answer.framing);
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -18,6 +18,8 @@
 mod relay;
 mod reported;
 mod run;
+mod scripted;
+mod second_copies;
 mod severed;
 mod silent;
 mod status_lines;
--- a/crates/service/tests/targets/status_lines.rs
+++ b/crates/service/tests/targets/status_lines.rs
@@ -18,12 +18,12 @@
 use crate::support::TestDialect;
 use crate::support::header_value;
 use crate::support::read_request;
+use crate::support::unrepeated;
 use crate::support::view;
 use bergamotlane_service::answer_body::read_body;
 use bergamotlane_service::carried::RequestMark;
 use bergamotlane_service::plain::PlainOutcome;
 use bergamotlane_service::plan::RouteKind;
-use bergamotlane_service::pool::RepeatRule;
 use bergamotlane_service::pool::TargetPool;
 use bergamotlane_service::relay::RelayReply;
 use bergamotlane_service::run::RunProgress;
@@ -225,18 +225,12 @@
     let pool = TargetPool::new();
     for id in ["first", "second"] {
         let request = Request::post("/").body(Full::new(Bytes::new())).unwrap();
-        let sent = pool
-            .send(
-                target.address,
-                request,
-                RequestMark::of(id),
-                RepeatRule::Unsent,
-            )
-            .await;
-        if let Ok((response, connection)) = sent {
-            let (head, body) = response.into_parts();
+        let request = unrepeated(request, RequestMark::of(id));
+        let sent = pool.send(target.address, request, |_| false).await;
+        if let Ok(answer) = sent {
+            let (head, body) = answer.response.into_parts();
             read_body(&head.headers, body, 100).await.unwrap();
-            connection.keep();
+            answer.connection.keep();
         }
     }
     assert_eq!(target.counts(), expected);
--- a/crates/service/tests/targets/support.rs
+++ b/crates/service/tests/targets/support.rs
@@ -6,8 +6,11 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::HeaderMap;
 use http::HeaderValue;
+use http::Request;
+use http_body_util::Full;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -17,12 +20,15 @@
 
 use crate::common::target_view;
 use bergamotlane_policy::rate::RequestRate;
+use bergamotlane_service::carried::RequestMark;
 use bergamotlane_service::dialect::AnswerMetadata;
 use bergamotlane_service::dialect::OrderHolder;
 use bergamotlane_service::dialect::OutboundCall;
 use bergamotlane_service::dialect::RequestMetadata;
 use bergamotlane_service::dialect::TargetDialect;
 use bergamotlane_service::load_report::LoadReport;
+use bergamotlane_service::pool::RepeatRule;
+use bergamotlane_service::pool::TargetRequest;
 use bergamotlane_service::registry::TargetView;
 use bergamotlane_service::state::UsageCounts;
 use bergamotlane_service::weights::OrderReport;
@@ -436,3 +442,12 @@
     view.announcement.capacity = 4;
     view
 }
+
+/// Returns a request that is sent once only.
+pub fn unrepeated(message: Request<Full<Bytes>>, mark: RequestMark) -> TargetRequest {
+    TargetRequest {
+        message,
+        mark,
+        rule: RepeatRule::Unsent,
+    }
+}
