--- a/crates/service/tests/targets/second_copies.rs
+++ b/crates/service/tests/targets/second_copies.rs
@@ -52,8 +52,8 @@
     Answer(ScriptedAnswer),
     /// Answers after a time in milliseconds.
     AnswerAfter(u64, ScriptedAnswer),
-    /// Closes the connection without an answer.
-    Close,
+    /// Closes the connection without an answer after a time in milliseconds.
+    CloseAfter(u64),
 }
 
 const SILENCE: TargetAction = TargetAction::AnswerAfter(FOR_EVER_MS, OWN_ANSWER);
@@ -80,7 +80,10 @@
                 sleep(Duration::from_millis(wait_ms)).await;
                 answer
             }
-            TargetAction::Close => return,
+            TargetAction::CloseAfter(wait_ms) => {
+                sleep(Duration::from_millis(wait_ms)).await;
+                return;
+            }
         };
         let bytes = answer.bytes(header_value(&head, "x-id"));
         if stream.write_all(bytes.as_bytes()).await.is_err() {
@@ -104,8 +107,9 @@
 #[case::silent_and_limited(SILENCE, refusal(429), Outcome::Unclear)]
 #[case::silent_and_refused(SILENCE, refusal(503), Outcome::Unclear)]
 #[case::silent_and_misdirected(SILENCE, status(421), Outcome::Unclear)]
-#[case::broken_and_refused(TargetAction::Close, refusal(503), Outcome::Unclear)]
-#[case::broken_and_misdirected(TargetAction::Close, status(421), Outcome::Unclear)]
+#[case::broken_and_refused(TargetAction::CloseAfter(0), refusal(503), Outcome::Unclear)]
+#[case::broken_and_misdirected(TargetAction::CloseAfter(0), status(421), Outcome::Unclear)]
+#[case::breaks_after_the_refusal(TargetAction::CloseAfter(900), refusal(429), Outcome::Unclear)]
 #[case::slow_and_limited(
     TargetAction::AnswerAfter(900, OWN_ANSWER),
     refusal(429),
@@ -125,7 +129,8 @@
 #[rstest]
 #[case::second_is_silent(SILENCE, Outcome::Unclear)]
 #[case::second_runs(TargetAction::AnswerAfter(300, OWN_ANSWER), Outcome::Served)]
-#[case::second_breaks(TargetAction::Close, Outcome::Unclear)]
+#[case::second_breaks(TargetAction::CloseAfter(0), Outcome::Unclear)]
+#[case::second_breaks_later(TargetAction::CloseAfter(400), Outcome::Unclear)]
 #[tokio::test]
 async fn a_refusal_of_the_first_copy_says_nothing_of_the_second(
     #[case] second: TargetAction,
@@ -187,7 +192,7 @@
 async fn a_run_whose_second_copy_is_refused_may_have_run(#[case] second: ScriptedAnswer) {
     let actions = vec![
         TargetAction::Answer(OWN_ANSWER),
-        TargetAction::Close,
+        TargetAction::CloseAfter(0),
         TargetAction::Answer(second),
     ];
     let address = start_target(actions).await;
