--- a/crates/service/src/forward/attempt.rs
+++ b/crates/service/src/forward/attempt.rs
@@ -75,8 +75,10 @@
     Crashed,
     /// Another entry forwarded the request.
     Relayed(PlainOutcome),
-    /// No other entry took the request.
-    NoHelper,
+    /// No other entry replied; at each of the `cuts`, whose links broke, the request may have run.
+    NoHelper {
+        cuts: u32,
+    },
 }
 
 /// Returns the outcome's metric label.
@@ -88,7 +90,7 @@
         TryOutcome::Broken | TryOutcome::Failed => "failed",
         TryOutcome::Crashed => "crashed",
         TryOutcome::Relayed(_) => "relayed",
-        TryOutcome::NoHelper => "no helper",
+        TryOutcome::NoHelper { .. } => "no helper",
     }
 }
 
@@ -182,7 +184,7 @@
                 }
                 target.record(started, !answer.status.is_server_error())
             }
-            TryOutcome::NotRun | TryOutcome::Relayed(_) | TryOutcome::NoHelper => {}
+            TryOutcome::NotRun | TryOutcome::Relayed(_) | TryOutcome::NoHelper { .. } => {}
             TryOutcome::Unsent | TryOutcome::Broken | TryOutcome::Failed | TryOutcome::Crashed => {
                 target.record(started, false);
             }
--- a/crates/service/src/forward/progress.rs
+++ b/crates/service/src/forward/progress.rs
@@ -34,6 +34,18 @@
     Done,
 }
 
+/// Returns the outcome of a request of which another copy may run or have run, so that nobody can say
+/// that the request did not.
+pub(super) fn beside_another_copy(outcome: PlainOutcome) -> PlainOutcome {
+    match outcome {
+        PlainOutcome::NotRun
+        | PlainOutcome::Limited(_)
+        | PlainOutcome::Overloaded(_)
+        | PlainOutcome::Quarantined(_) => PlainOutcome::Failed,
+        outcome => outcome,
+    }
+}
+
 /// State of a request while it is forwarded.
 pub(super) struct ForwardProgress {
     is_idempotent: bool,
@@ -167,7 +179,14 @@
             TryOutcome::Broken | TryOutcome::Failed | TryOutcome::Crashed => {
                 self.failed = self.failed.take().or(Some(None));
             }
-            TryOutcome::Relayed(_) | TryOutcome::NoHelper => self.relay = RelayStage::Done,
+            TryOutcome::Relayed(_) => self.relay = RelayStage::Done,
+            TryOutcome::NoHelper { cuts } => {
+                self.relay = RelayStage::Done;
+                self.attempts += cuts;
+                if cuts > 0 {
+                    self.failed = self.failed.take().or(Some(None));
+                }
+            }
             TryOutcome::NotRun | TryOutcome::Unsent => {
                 self.unreachable += u32::from(matches!(end, TryOutcome::Unsent));
                 self.rejections += 1;
@@ -182,17 +201,9 @@
     /// Returns the outcome of a request that another entry forwarded. `is_running` is set if a try at a
     /// target may still run, so that nobody can say that the request did not.
     pub(super) fn relayed(&self, outcome: PlainOutcome, is_running: bool) -> PlainOutcome {
-        let may_run = is_running || self.failed.is_some();
-        match outcome {
-            PlainOutcome::NotRun
-            | PlainOutcome::Limited(_)
-            | PlainOutcome::Overloaded(_)
-            | PlainOutcome::Quarantined(_)
-                if may_run =>
-            {
-                PlainOutcome::Failed
-            }
-            outcome => outcome,
+        match is_running || self.failed.is_some() {
+            true => beside_another_copy(outcome),
+            false => outcome,
         }
     }
 
--- a/crates/service/src/forward/relayed.rs
+++ b/crates/service/src/forward/relayed.rs
@@ -8,11 +8,13 @@
 use super::Forwarder;
 use super::attempt::TryOutcome;
 use super::progress::ForwardProgress;
+use super::progress::beside_another_copy;
 use crate::dialect::TargetDialect;
 use crate::metrics::METRICS;
 use crate::plain::PlainRequest;
 use crate::reach::ReachWatch;
 use crate::relay::RelayClient;
+use crate::relay::RelayEnd;
 use bergamotlane_storage::clock::now;
 
 /// Number of targets to which a connection is tried to learn whether the path to them is back.
@@ -58,21 +60,26 @@
     /// Sends a request through another entry, which may try `attempts` targets.
     pub(super) async fn try_relay(&self, request: &PlainRequest, attempts: u32) -> TryOutcome {
         let started = now();
-        let outcome = match &self.relay {
+        let end = match &self.relay {
             Some(relay) => relay.send(request, attempts).await,
-            None => None,
+            None => RelayEnd::NoHelper { cuts: 0 },
         };
-        let label = match &outcome {
-            Some(_) => "sent",
-            None => "no helper",
+        let (label, cuts) = match &end {
+            RelayEnd::Replied { cuts, .. } => ("sent", *cuts),
+            RelayEnd::NoHelper { cuts } => ("no helper", *cuts),
         };
         METRICS.relays.with_label_values(&[label]).inc();
         spdlog::info!("request: relayed", kv: {
             request = request.id.as_str(),
             outcome = label,
+            cuts,
             path_lost = self.reach.is_lost(),
             took_ms = now().since(started),
         });
-        outcome.map_or(TryOutcome::NoHelper, TryOutcome::Relayed)
+        match end {
+            RelayEnd::Replied { outcome, cuts: 0 } => TryOutcome::Relayed(outcome),
+            RelayEnd::Replied { outcome, .. } => TryOutcome::Relayed(beside_another_copy(outcome)),
+            RelayEnd::NoHelper { cuts } => TryOutcome::NoHelper { cuts },
+        }
     }
 }
--- a/crates/service/src/relay.rs
+++ b/crates/service/src/relay.rs
@@ -300,6 +300,24 @@
     Broken,
 }
 
+/// End of a request that was sent through other entries. Each of the `cuts` is a helper whose link broke
+/// after the request was sent to it, so that it may have run there.
+#[derive(Debug)]
+pub enum RelayEnd {
+    /// The last helper replied.
+    Replied {
+        /// Outcome there.
+        outcome: PlainOutcome,
+        /// Number of earlier helpers that may have run the request.
+        cuts: u32,
+    },
+    /// There is no helper (any more), or too many requests wait for one.
+    NoHelper {
+        /// Number of helpers that may have run the request.
+        cuts: u32,
+    },
+}
+
 /// Request that is passed to the event loop that owns the links. If the receiver of `reply` is
 /// dropped, the request is cancelled at the helper.
 #[derive(Debug)]
@@ -323,35 +341,44 @@
         (Self { calls }, queue)
     }
 
-    /// Sends a request through the first helper that takes it and may try `attempts` targets. Returns
-    /// `None` if there is no helper, or if too many requests wait for one; then the request did not run.
-    pub async fn send(&self, request: &PlainRequest, attempts: u32) -> Option<PlainOutcome> {
+    /// Sends a request through the first helper that takes it and may try `attempts` targets. One that may
+    /// be repeated goes to the next helper if the link to a helper breaks, which may have tried one target
+    /// by then.
+    pub async fn send(&self, request: &PlainRequest, attempts: u32) -> RelayEnd {
         let search_end: ClockTime = (now() + HELPER_SEARCH_MS).min(request.limit);
+        let mut cuts = 0;
         loop {
             let (reply, result) = oneshot::channel();
             let call = RelayCall {
                 request: Box::new(RelayRequest {
-                    max_attempts: attempts,
+                    max_attempts: attempts - cuts,
                     ..request.into()
                 }),
                 reply,
             };
-            self.calls.try_send(call).ok()?;
+            if self.calls.try_send(call).is_err() {
+                return RelayEnd::NoHelper { cuts };
+            }
             match result.await {
                 Ok(RelayResult::Replied(reply)) => {
                     if let Some(outcome) = reply.into_outcome() {
-                        return Some(outcome);
+                        return RelayEnd::Replied { outcome, cuts };
                     }
                 }
                 Ok(RelayResult::NoHelper) if now() < search_end => sleep(HELPER_PAUSE).await,
-                Ok(RelayResult::NoHelper | RelayResult::Exhausted) => return None,
-                Ok(RelayResult::Broken) | Err(_) => match request.kind {
-                    RouteKind::Safe => {}
-                    _ => return Some(PlainOutcome::Failed),
-                },
+                Ok(RelayResult::NoHelper | RelayResult::Exhausted) => {
+                    return RelayEnd::NoHelper { cuts };
+                }
+                Ok(RelayResult::Broken) | Err(_) => {
+                    cuts += 1;
+                    if request.kind != RouteKind::Safe || cuts >= attempts {
+                        let outcome = PlainOutcome::Failed;
+                        return RelayEnd::Replied { outcome, cuts };
+                    }
+                }
             }
             if now() >= request.limit {
-                return None;
+                return RelayEnd::NoHelper { cuts };
             }
         }
     }
--- a/crates/service/tests/targets/main.rs
+++ b/crates/service/tests/targets/main.rs
@@ -5,6 +5,7 @@
 mod common;
 mod copies;
 mod cut;
+mod cut_relays;
 #[path = "../common/earlier_state.rs"]
 mod earlier_state;
 mod forward;
