Let a drain bind the leader that accepted it before it is committed

The leader took a "ready" of the same start that came after "draining" and before the drain was committed; the drain was then confirmed and bound nobody until the next leader (DRAIN).

Change: a start that announces that it drains is marked on this leader at once, as one that says so in an answer. A later start under the ID isn't concerned.

Evidence: a_ready_announcement_before_a_drain_is_committed_is_ignored fails without the mark.

--- a/crates/service/src/starts.rs
+++ b/crates/service/src/starts.rs
@@ -171,6 +171,8 @@
         let (id, born) = (start.id.as_str(), start.born);
         if announcement.is_draining {
             self.returns.forget(id);
+            // What is accepted here binds this leader before it is committed.
+            self.marks.mark(&start);
             let is_served = self.state.has_service(&announcement.service);
             let effect = self.register(now, announcement);
             return StartOutcome {
--- a/crates/service/tests/starts.rs
+++ b/crates/service/tests/starts.rs
@@ -46,6 +46,39 @@
     }
 }
 
+/// Guards against a drain that is accepted and then undone by a later announcement of the same start,
+/// before it is committed: it would be confirmed, and bind nobody until the next leader.
+#[test]
+fn a_ready_announcement_before_a_drain_is_committed_is_ignored() {
+    let mut leader = Leader::default();
+    for message in heartbeats(EARLIER, START, 2) {
+        play(&mut leader, vec![message]);
+    }
+    let drained_at = START + 2 * HEARTBEAT_MS;
+    let drain = Draining {
+        born: EARLIER,
+        sequence: 3,
+    };
+    let outcome = leader.receive(drained_at, drain);
+    let ready = Ready {
+        born: EARLIER,
+        sequence: 4,
+    };
+    leader.deliver(drained_at + 20, ready);
+    assert!(!leader.uses(EARLIER), "before the drain is committed");
+    leader.state.apply(1, outcome.command.unwrap());
+    leader.deliver(drained_at + HEARTBEAT_MS, ready);
+    assert!(!leader.uses(EARLIER), "after the drain is committed");
+    leader.deliver(
+        drained_at + HEARTBEAT_MS,
+        Ready {
+            born: LATER,
+            sequence: 1,
+        },
+    );
+    assert!(leader.uses(LATER));
+}
+
 /// Messages of the earlier start, with what each of them is.
 fn late_messages() -> Vec<Message> {
     vec![
